--- /dev/null
+++ b/src/main/kotlin/linemast/app/Main.kt
@@ -0,0 +1,86 @@
+package linemast.app
+
+import io.ktor.network.selector.ActorSelectorManager
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.runBlocking
+import linemast.settings.SettingsException
+import linemast.settings.SettingsReader
+import picocli.CommandLine
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Model.OptionSpec
+import java.nio.file.Path
+import java.util.concurrent.Executors
+import kotlin.system.exitProcess
+
+private const val VERSION = "linemast 0.1.0"
+private const val EXIT_USAGE = 2
+private const val EXIT_SETTINGS = 3
+
+fun main(args: Array<String>) {
+    setUpLogging(System.getenv("LOG_LEVEL"))
+    exitProcess(commandLine().execute(*args))
+}
+
+private fun setUpLogging(level: String?) {
+    val known = when (level?.lowercase()) {
+        "error", "warn", "info", "debug" -> level.lowercase()
+        else -> "info"
+    }
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", known)
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
+    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true")
+    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "HH:mm:ss.SSS")
+}
+
+private fun commandLine(): CommandLine {
+    // Built without annotations, whose reading would cost reflection at every cold start.
+    val spec = CommandSpec.create().name("linemast").version(VERSION)
+    spec.usageMessage().description("A controller of the linemast cluster scheduler.")
+    spec.addOption(
+        OptionSpec.builder("--config").paramLabel("FILE").type(Path::class.java)
+            .description("The settings file (TOML).").build(),
+    )
+    spec.addOption(flag("--check", "Check the settings and exit."))
+    spec.addOption(flag("--rehearse", "Exercise the program for a class-data archive and exit.").also { })
+    spec.addOption(OptionSpec.builder("--help", "-h").usageHelp(true).description("Show this help.").build())
+    spec.addOption(OptionSpec.builder("--version").versionHelp(true).description("Show the version.").build())
+    val line = CommandLine(spec)
+    line.executionStrategy = CommandLine.IExecutionStrategy { parsed ->
+        CommandLine.executeHelpRequest(parsed) ?: execute(parsed)
+    }
+    line.parameterExceptionHandler = CommandLine.IParameterExceptionHandler { e, _ ->
+        System.err.println("linemast: ${e.message}")
+        EXIT_USAGE
+    }
+    return line
+}
+
+private fun flag(name: String, description: String): OptionSpec =
+    OptionSpec.builder(name).type(java.lang.Boolean.TYPE).arity("0").description(description).build()
+
+private fun execute(parsed: CommandLine.ParseResult): Int {
+    if (parsed.hasMatchedOption("--rehearse")) return Rehearsal.run()
+    val file = parsed.matchedOptionValue<Path?>("--config", null)
+    if (file == null) {
+        System.err.println("linemast: --config FILE is missing")
+        return EXIT_USAGE
+    }
+    val settings = try {
+        SettingsReader.read(file)
+    } catch (e: SettingsException) {
+        System.err.println("linemast: ${e.message}")
+        return EXIT_SETTINGS
+    }
+    if (parsed.hasMatchedOption("--check")) {
+        println("$file: fine")
+        return 0
+    }
+    val main = singleThread("main")
+    val selector = ActorSelectorManager(singleThread("selector"))
+    runBlocking(main) { Controller(settings, selector).run() }
+    return 0
+}
+
+internal fun singleThread(name: String) =
+    Executors.newSingleThreadExecutor { Thread(it, "linemast-$name").apply { isDaemon = true } }.asCoroutineDispatcher()
--- /dev/null
+++ b/src/main/kotlin/linemast/cloud/CloudClient.kt
@@ -0,0 +1,147 @@
+package linemast.cloud
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.delay
+import linemast.settings.CloudLimits
+import linemast.state.TokenBucket
+import linemast.wire.Address
+import linemast.wire.Cbor
+import linemast.wire.Clock
+import linemast.wire.Fields
+import linemast.wire.HttpClient
+import linemast.wire.HttpReply
+import linemast.wire.MalformedException
+import linemast.wire.NoAnswerException
+import linemast.wire.SECOND_MICROS
+
+class ListedMachine(
+    val name: String,
+    val addr: String,
+    val build: String,
+    val yard: String,
+    val loaners: Boolean,
+    val status: String,
+    val ageMicros: Long,
+)
+
+class RentRequest(val charter: String, val build: String, val yard: String, val loaners: Boolean, val number: Int)
+
+sealed interface RentResult {
+    class Rented(val names: List<String>) : RentResult
+
+    data object NoCapacity : RentResult
+
+    /** Nothing is known: the same charter has to be sent again. */
+    data object Unknown : RentResult
+}
+
+class CloudException(message: String) : Exception(message)
+
+/** The cloud, as much of it as the controllers use. Tests put a stand-in behind it. */
+interface Cloud {
+    suspend fun types(): List<MachineType>
+
+    suspend fun machines(): List<ListedMachine>
+
+    suspend fun rent(request: RentRequest): RentResult
+
+    /** Returns once the machines are surely gone. */
+    suspend fun giveBack(names: List<String>)
+}
+
+class CloudClient(
+    selector: SelectorManager,
+    address: Address,
+    limits: CloudLimits,
+    private val clock: Clock,
+) : Cloud {
+    private val http = HttpClient(selector, address, MAX_CALLS)
+    private val tokens = TokenBucket(limits.rps * USED_SHARE, limits.rps * USED_SHARE, limits.rps * LIST_RESERVE)
+
+    override suspend fun types(): List<MachineType> =
+        read(call("GET", "/machine_types", null, vital = true)) { MachineType.readAll(it) }
+
+    override suspend fun machines(): List<ListedMachine> {
+        val all = ArrayList<ListedMachine>()
+        var after = ""
+        while (true) {
+            val path = "/machines?limit=$PAGE" + if (after.isEmpty()) "" else "&after=$after"
+            val truncated = read(call("GET", path, null, vital = false)) { page ->
+                page.children("rigs").mapTo(all, ::machine)
+                page.flagOrNull("truncated") ?: false
+            }
+            if (!truncated || all.isEmpty() || all.last().name == after) return all
+            after = all.last().name
+        }
+    }
+
+    override suspend fun rent(request: RentRequest): RentResult {
+        val body = mapOf(
+            "charter" to request.charter,
+            "build" to request.build,
+            "yard" to request.yard,
+            "loaners" to request.loaners,
+            "number" to request.number,
+        )
+        val reply = try {
+            call("POST", "/machines", Cbor.encode(body), vital = true)
+        } catch (e: CloudException) {
+            return RentResult.Unknown
+        }
+        return when (reply.status) {
+            200 -> read(reply) { RentResult.Rented(it.textsOrNull("rigs") ?: emptyList()) }
+            503 -> {
+                val reason = runCatching { reply.fields().textOrNull("error") }.getOrNull()
+                if (reason == "no capacity") RentResult.NoCapacity else RentResult.Unknown
+            }
+            429 -> RentResult.Unknown
+            else -> throw CloudException("the cloud answered ${reply.status} to a rental")
+        }
+    }
+
+    override suspend fun giveBack(names: List<String>) {
+        for (part in names.chunked(MAX_RETURN)) {
+            val reply = call("POST", "/machines/return", Cbor.encode(mapOf("rigs" to part)), vital = true)
+            if (reply.status != 200) throw CloudException("the cloud answered ${reply.status} to a return")
+        }
+    }
+
+    private fun machine(fields: Fields) = ListedMachine(
+        name = fields.text("name_id"),
+        addr = fields.textOrNull("addr") ?: "",
+        build = fields.text("build"),
+        yard = fields.text("yard"),
+        loaners = fields.flagOrNull("loaners") ?: false,
+        status = fields.text("status"),
+        ageMicros = fields.microsOrNull("age_s") ?: 0L,
+    )
+
+    private suspend fun call(method: String, path: String, body: ByteArray?, vital: Boolean): HttpReply {
+        while (!tokens.tryTake(1, vital, clock.nowMicros())) {
+            delay(tokens.waitMicros(1, vital, clock.nowMicros()) / 1_000 + 1)
+        }
+        return try {
+            http.call(method, path, body, CALL_TIMEOUT_MICROS)
+        } catch (e: NoAnswerException) {
+            throw CloudException(e.message ?: "no answer")
+        }
+    }
+
+    private inline fun <T> read(reply: HttpReply, decode: (Fields) -> T): T {
+        if (reply.status != 200) throw CloudException("the cloud answered ${reply.status}")
+        return try {
+            decode(reply.fields())
+        } catch (e: MalformedException) {
+            throw CloudException("malformed answer from the cloud: ${e.message}")
+        }
+    }
+
+    private companion object {
+        const val MAX_CALLS = 3
+        const val MAX_RETURN = 100
+        const val PAGE = 500
+        const val USED_SHARE = 0.8
+        const val LIST_RESERVE = 0.3
+        const val CALL_TIMEOUT_MICROS = 5 * SECOND_MICROS
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/cloud/MachineType.kt
@@ -0,0 +1,57 @@
+package linemast.cloud
+
+import linemast.jobs.JobSpec
+import linemast.wire.Fields
+
+class MachineType(
+    val name: String,
+    val vcpus: Double,
+    val gpus: Double,
+    val memoryGb: Double,
+    val localGb: Double,
+    val fetchGbPerS: Double,
+    val price: Double,
+    val marketPrice: Double,
+    val startupMicros: Long,
+    val yards: List<String>,
+) {
+    /** Whether one task of [spec] fits an empty machine of this type that the job allows. */
+    fun takes(spec: JobSpec): Boolean =
+        (spec.builds == null || name in spec.builds) &&
+            spec.vcpus <= vcpus && spec.gpus <= gpus && spec.memoryGb <= memoryGb
+
+    fun toMap(): Map<String, Any?> = mapOf(
+        "name" to name,
+        "vcpus" to vcpus,
+        "gpus" to gpus,
+        "memory_gb" to memoryGb,
+        "local_gb" to localGb,
+        "fetch_gb_per_s" to fetchGbPerS,
+        "price" to price,
+        "market_price" to marketPrice,
+        "startup_s" to startupMicros / 1e6,
+        "yards" to yards,
+    )
+
+    companion object {
+        const val KEY = "types"
+
+        fun readAll(fields: Fields): List<MachineType> = fields.children("builds").map {
+            val price = it.numberOrNull("price") ?: 0.0
+            MachineType(
+                name = it.text("name"),
+                vcpus = it.number("vcpus"),
+                gpus = it.numberOrNull("gpus") ?: 0.0,
+                memoryGb = it.number("memory_gb"),
+                localGb = it.numberOrNull("local_gb") ?: 0.0,
+                fetchGbPerS = it.numberOrNull("fetch_gb_per_s") ?: 1.0,
+                price = price,
+                marketPrice = it.numberOrNull("market_price") ?: price,
+                startupMicros = it.microsOrNull("startup_s") ?: 0L,
+                yards = it.textsOrNull("yards") ?: emptyList(),
+            )
+        }
+
+        fun toMap(types: List<MachineType>): Map<String, Any?> = mapOf("builds" to types.map { it.toMap() })
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/jobs/JobDesk.kt
@@ -0,0 +1,183 @@
+package linemast.jobs
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import linemast.cloud.MachineType
+import linemast.settings.Team
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.Item
+import linemast.state.Store
+import linemast.state.StoreException
+import linemast.state.Write
+import linemast.wire.Cbor
+import linemast.wire.HttpRequest
+import linemast.wire.HttpResponse
+import org.slf4j.LoggerFactory
+
+/** Progress of jobs for display, as the leader last told it. */
+fun interface ProgressView {
+    /** Done and running tasks of a job, or null when nothing is known. */
+    fun progressOf(id: String): Progress?
+}
+
+class Progress(val done: Int, val running: Int)
+
+/**
+ * The users' side: submissions, polls and cancellations, at any controller.
+ *
+ * Whatever is answered has been read from or committed to the store after the request arrived; only final
+ * verdicts are remembered, since those never change.
+ */
+class JobDesk(
+    private val store: Store,
+    private val scope: CoroutineScope,
+    private val teams: Map<String, Team>,
+    private val types: () -> List<MachineType>?,
+    private val progress: ProgressView,
+    private val wallMicros: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger(JobDesk::class.java)
+    private val finals = object : LinkedHashMap<String, VerdictRecord>(16, 0.75f, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<String, VerdictRecord>) = size > MAX_FINALS
+    }
+    private val reads = HashMap<String, Read>()
+
+    /** A read under way, and the one that those who came after its start wait for. */
+    private class Read {
+        var next: CompletableDeferred<Result<Item?>>? = null
+    }
+
+    suspend fun handle(request: HttpRequest): HttpResponse? {
+        val path = request.path
+        return when {
+            path == JOBS_PATH -> if (request.method == "POST") guarded { submit(request) } else null
+            !path.startsWith("$JOBS_PATH/") -> null
+            request.method == "POST" && path.endsWith(CANCEL_SUFFIX) ->
+                guarded { cancel(path.substring(JOBS_PATH.length + 1, path.length - CANCEL_SUFFIX.length)) }
+            request.method == "GET" -> guarded { poll(path.substring(JOBS_PATH.length + 1)) }
+            else -> null
+        }
+    }
+
+    private suspend fun guarded(answer: suspend () -> HttpResponse): HttpResponse = try {
+        answer()
+    } catch (e: StoreException) {
+        log.debug("turned away: {}", e.message)
+        HttpResponse.unavailable()
+    }
+
+    private suspend fun submit(request: HttpRequest): HttpResponse {
+        val spec = JobSpec.read(Cbor.decodeMap(request.body))
+        finals[spec.id]?.let { return known(spec.id, it) }
+        val machineTypes = types() ?: return HttpResponse.unavailable()
+        if (!canEverRun(spec, machineTypes)) {
+            // A job that was accepted once stays accepted, whatever the machine types have become since.
+            val verdict = readVerdict(spec.id) ?: return HttpResponse.of(422, "error" to "this job can never run")
+            return known(spec.id, verdict)
+        }
+        val record = OpenRecord(spec, wallMicros(), opened = false, withdrawn = false)
+        val result = store.commit(
+            listOf(Condition(JobKeys.verdict(spec.id), 0L)),
+            listOf(
+                Write.Put(JobKeys.verdict(spec.id), VerdictRecord(Verdict.OPEN, spec.pieces).toMap()),
+                Write.Put(JobKeys.open(spec.id), record.toMap()),
+            ),
+        )
+        return when (result) {
+            is CommitResult.Applied -> HttpResponse.of(201, "name_id" to spec.id, "status" to "pending")
+            is CommitResult.Conflict ->
+                readVerdict(spec.id)?.let { known(spec.id, it) } ?: HttpResponse.unavailable()
+            is CommitResult.NoSuchHold -> HttpResponse.unavailable()
+        }
+    }
+
+    private suspend fun poll(id: String): HttpResponse {
+        if (!JobSpec.isId(id)) return HttpResponse(404)
+        val verdict = readVerdict(id) ?: return HttpResponse(404)
+        return known(id, verdict)
+    }
+
+    private suspend fun cancel(id: String): HttpResponse {
+        if (!JobSpec.isId(id)) return HttpResponse(404)
+        repeat(CANCEL_TRIES) {
+            val item = finals[id]?.let { return known(id, it) } ?: store.get(JobKeys.verdict(id)) ?: return HttpResponse(404)
+            val verdict = remember(id, VerdictRecord.read(item.value))
+            if (verdict.verdict.isFinal) return known(id, verdict)
+            val open = store.get(JobKeys.open(id)) ?: return@repeat
+            val withdrawn = VerdictRecord(Verdict.WITHDRAWN, verdict.pieces)
+            val result = store.commit(
+                listOf(Condition(item.key, item.stamp), Condition(open.key, open.stamp)),
+                listOf(
+                    Write.Put(item.key, withdrawn.toMap()),
+                    Write.Put(open.key, OpenRecord.read(open).with(withdrawn = true).toMap()),
+                ),
+            )
+            if (result is CommitResult.Applied) return known(id, remember(id, withdrawn))
+        }
+        return HttpResponse.unavailable()
+    }
+
+    private fun known(id: String, record: VerdictRecord): HttpResponse {
+        val shown = progress.progressOf(id)
+        val status = when (record.verdict) {
+            Verdict.DONE -> "done"
+            Verdict.WITHDRAWN -> "withdrawn"
+            Verdict.OPEN -> if (shown != null && shown.running > 0) "running" else "pending"
+        }
+        val done = if (record.verdict == Verdict.DONE) record.pieces else shown?.done ?: 0
+        val running = if (record.verdict == Verdict.OPEN) shown?.running ?: 0 else 0
+        return HttpResponse.of(200, "name_id" to id, "status" to status, "done" to done, "running" to running)
+    }
+
+    private fun remember(id: String, record: VerdictRecord): VerdictRecord {
+        if (record.verdict.isFinal) finals[id] = record
+        return record
+    }
+
+    /** The verdict in a read that began after this call; such reads are shared. */
+    private suspend fun readVerdict(id: String): VerdictRecord? {
+        finals[id]?.let { return it }
+        val running = reads[id]
+        val item = if (running == null) {
+            val first = CompletableDeferred<Result<Item?>>()
+            reads[id] = Read()
+            scope.launch { readInTurn(id, first) }
+            first.await()
+        } else {
+            (running.next ?: CompletableDeferred<Result<Item?>>().also { running.next = it }).await()
+        }.getOrThrow() ?: return null
+        return remember(id, VerdictRecord.read(item.value))
+    }
+
+    private suspend fun readInTurn(id: String, first: CompletableDeferred<Result<Item?>>) {
+        var waiting = first
+        while (true) {
+            waiting.complete(runCatching { store.get(JobKeys.verdict(id)) })
+            val next = reads[id]?.next
+            if (next == null) {
+                reads.remove(id)
+                return
+            }
+            reads[id] = Read()
+            waiting = next
+        }
+    }
+
+    private fun canEverRun(spec: JobSpec, machineTypes: List<MachineType>): Boolean {
+        val team = teams[spec.crew] ?: return false
+        val asOne = if (spec.isGang) spec.pieces else 1
+        if (spec.vcpus * asOne > team.cpusMax || spec.gpus * asOne > team.gpusMax) return false
+        return machineTypes.any { type ->
+            type.takes(spec) && (spec.yard == null || type.yards.isEmpty() || spec.yard in type.yards)
+        }
+    }
+
+    private companion object {
+        const val JOBS_PATH = "/v1/jobs"
+        const val CANCEL_SUFFIX = "/cancel"
+        const val CANCEL_TRIES = 4
+        const val MAX_FINALS = 5_000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/leadership/Authority.kt
@@ -0,0 +1,70 @@
+package linemast.leadership
+
+/** The two keys leadership lives in. */
+object LeaderKeys {
+    /** Attached to the leader's hold; every write of the leader depends on its stamp. */
+    const val LEADER = "leader"
+
+    /** A lasting counter, raised by the transaction that takes the lead. */
+    const val HELM = "helm"
+}
+
+/**
+ * How long a leader may act, from the answers it got to its renewals.
+ *
+ * Times are the own steady clock's. A hold lives at least its full time from when the store carried out the
+ * renewal, which was not before the renewal was sent; so counting from the sending, less what clocks may
+ * drift and a margin, ends before the store lets anyone else in.
+ */
+class Authority(
+    val helm: Long,
+    val stamp: Long,
+    private val holdMicros: Long,
+    private val graceMicros: Long,
+    sentMicros: Long,
+) {
+    private var untilMicros = sentMicros + usable(holdMicros)
+    private var graceUntilMicros = untilMicros + graceMicros
+    var ended = false
+        private set
+
+    /** A renewal sent at [sentMicros] was confirmed. */
+    fun renewed(sentMicros: Long) {
+        untilMicros = maxOf(untilMicros, sentMicros + usable(holdMicros))
+        graceUntilMicros = untilMicros + graceMicros
+    }
+
+    /** A higher helm exists, or the hold is gone: nothing may be done any more, not even in grace. */
+    fun end() {
+        ended = true
+    }
+
+    /** Whether orders may be given now. */
+    fun mayOrder(nowMicros: Long): Boolean = !ended && nowMicros < untilMicros
+
+    /** Whether reports may be answered, with or without orders, so that workers keep their tasks. */
+    fun mayAnswer(nowMicros: Long): Boolean = !ended && nowMicros < graceUntilMicros
+
+    companion object {
+        private const val DRIFT_PER_MILLION = 1_000L
+        private const val MARGIN_MICROS = 200_000L
+
+        /** What a clock that may run off by 0.05% either way makes of a duration, rounded up generously. */
+        fun drift(micros: Long): Long = micros * DRIFT_PER_MILLION / 1_000_000 + 1
+
+        private fun usable(holdMicros: Long) = holdMicros - drift(holdMicros) - MARGIN_MICROS
+
+        /**
+         * How long a leader without its store may keep answering.
+         *
+         * A task of a job cancelled elsewhere can live on for the grace plus a lease, and that has to end
+         * before a cancellation's time is over; the margin covers reports on their way and clocks.
+         */
+        fun graceMicros(leaseMicros: Long, cancelMicros: Long): Long {
+            val margin = GRACE_MARGIN_MICROS + drift(cancelMicros)
+            return (cancelMicros - leaseMicros - margin).coerceAtLeast(0)
+        }
+
+        private const val GRACE_MARGIN_MICROS = 6_000_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/leadership/Election.kt
@@ -0,0 +1,146 @@
+package linemast.leadership
+
+import kotlinx.coroutines.delay
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.FollowResult
+import linemast.state.Item
+import linemast.state.Priority
+import linemast.state.Store
+import linemast.state.StoreException
+import linemast.state.Write
+import linemast.wire.Clock
+import linemast.wire.MalformedException
+import linemast.wire.SECOND_MICROS
+import org.slf4j.LoggerFactory
+
+/** Who leads, as far as this controller knows. */
+class LeaderView {
+    /** Name of the leader last seen in the store. */
+    var leaderName: String? = null
+
+    /** Highest helm heard of anywhere. */
+    var highestHelm = 0L
+
+    /** Set while this controller leads or is in its grace. */
+    var own: Authority? = null
+
+    /** Takes news of a helm; an own one that is lower ends at once. */
+    fun heardOf(helm: Long) {
+        if (helm > highestHelm) highestHelm = helm
+        own?.let { if (helm > it.helm) it.end() }
+    }
+}
+
+/**
+ * Contends for the lead and keeps it: one long-lived duty per controller.
+ *
+ * [lead] runs as long as this controller may count as leader; it is cancelled when the lead is lost.
+ */
+class Election(
+    private val store: Store,
+    private val clock: Clock,
+    private val nodeName: String,
+    private val holdMicros: Long,
+    private val graceMicros: Long,
+    private val view: LeaderView,
+    private val onElected: (Authority) -> Unit,
+    private val onLost: () -> Unit,
+) {
+    private val log = LoggerFactory.getLogger(Election::class.java)
+
+    suspend fun run() {
+        while (true) {
+            try {
+                val authority = contend()
+                if (authority != null) keep(authority)
+            } catch (e: StoreException) {
+                log.debug("election: {}", e.message)
+                delay(RETRY_MILLIS)
+            } catch (e: MalformedException) {
+                log.error("election: malformed record: {}", e.message)
+                delay(RETRY_MILLIS)
+            }
+        }
+    }
+
+    /** Waits until the lead is free, then tries to take it. Null when another was faster. */
+    private suspend fun contend(): Authority? {
+        val current = store.get(LeaderKeys.LEADER)
+        val own = current != null && current.value.textOrNull("node") == nodeName
+        // A record of this very controller is left by an earlier process, which has ended, or by an election
+        // whose answer never came; this process does not lead now, so it need not wait for the hold to run out.
+        if (current != null && !own) {
+            seen(current)
+            awaitChange(current.stamp)
+            return null
+        }
+        val sent = clock.nowMicros()
+        val hold = store.openHold(holdMicros)
+        val last = store.get(LeaderKeys.HELM)
+        val helm = maxOf(last?.value?.long("n") ?: 0L, view.highestHelm) + 1
+        val record = mapOf("node" to nodeName, "helm" to helm)
+        val result = store.commit(
+            listOf(
+                Condition(LeaderKeys.LEADER, current?.stamp ?: 0L),
+                Condition(LeaderKeys.HELM, last?.stamp ?: 0L),
+            ),
+            listOf(Write.Put(LeaderKeys.LEADER, record, hold), Write.Put(LeaderKeys.HELM, mapOf("n" to helm))),
+            Priority.VITAL,
+        )
+        if (result !is CommitResult.Applied) return null
+        this.hold = hold
+        return Authority(helm, result.era, holdMicros, graceMicros, sent)
+    }
+
+    private var hold = 0L
+
+    private fun seen(leader: Item) {
+        view.leaderName = leader.value.textOrNull("node")
+        view.heardOf(leader.value.longOrNull("helm") ?: 0L)
+    }
+
+    private suspend fun awaitChange(stamp: Long) {
+        when (val result = store.follow(LeaderKeys.LEADER, stamp, FOLLOW_MICROS)) {
+            is FollowResult.TooOld -> delay(RETRY_MILLIS)
+            is FollowResult.News -> result.changes.lastOrNull { it.key == LeaderKeys.LEADER }?.let { change ->
+                if (change.value == null) view.leaderName = null
+            }
+        }
+    }
+
+    private suspend fun keep(authority: Authority) {
+        log.info("leading with helm {}", authority.helm)
+        view.own = authority
+        view.leaderName = nodeName
+        view.heardOf(authority.helm)
+        onElected(authority)
+        try {
+            while (authority.mayAnswer(clock.nowMicros())) {
+                delay(holdMicros / RENEWALS_PER_HOLD / 1_000)
+                val sent = clock.nowMicros()
+                try {
+                    if (!store.renewHold(hold)) {
+                        log.info("the lead of helm {} ended: its hold has run out", authority.helm)
+                        break
+                    }
+                    authority.renewed(sent)
+                } catch (e: StoreException) {
+                    log.debug("renewal: {}", e.message)
+                }
+            }
+        } finally {
+            authority.end()
+            view.own = null
+            if (view.leaderName == nodeName) view.leaderName = null
+            log.info("no longer leading with helm {}", authority.helm)
+            onLost()
+        }
+    }
+
+    private companion object {
+        const val RENEWALS_PER_HOLD = 5
+        const val RETRY_MILLIS = 300L
+        const val FOLLOW_MICROS = 8 * SECOND_MICROS
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -0,0 +1,327 @@
+package linemast.leadership
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import linemast.cloud.Cloud
+import linemast.cloud.CloudException
+import linemast.cloud.MachineType
+import linemast.jobs.DoneSet
+import linemast.jobs.JobKeys
+import linemast.jobs.OpenRecord
+import linemast.jobs.Progress
+import linemast.jobs.Verdict
+import linemast.jobs.VerdictRecord
+import linemast.placement.Cluster
+import linemast.placement.Effects
+import linemast.settings.Settings
+import linemast.state.Change
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.FollowResult
+import linemast.state.Store
+import linemast.state.StoreException
+import linemast.state.Write
+import linemast.state.listAll
+import linemast.wire.Clock
+import linemast.wire.MalformedException
+import linemast.wire.SECOND_MICROS
+import linemast.workers.FleetRecord
+import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.Order
+import linemast.workers.Report
+import org.slf4j.LoggerFactory
+
+/**
+ * All that one time of leading does, from reading the store to losing the lead.
+ *
+ * The cluster state is touched by the [run] routine alone; everything else sends it events.
+ */
+class LeaderDuty(
+    private val settings: Settings,
+    private val store: Store,
+    private val cloud: Cloud,
+    private val clock: Clock,
+    private val authority: Authority,
+    private val graceMicros: Long,
+    private val scope: CoroutineScope,
+    private val types: () -> List<MachineType>?,
+) : Effects {
+    private val log = LoggerFactory.getLogger(LeaderDuty::class.java)
+    private val events = Channel<() -> Unit>(EVENTS)
+    private val cluster = Cluster(settings, authority.helm, graceMicros, this)
+    private val fleetRecord = FleetRecord()
+    private var loaded = false
+    private var storingMachines = false
+
+    /** Orders for the answer to [report]; null for an answer that leaves the worker's lease alone. */
+    suspend fun answer(report: Report): List<Order>? {
+        if (report.helm > authority.helm) return null
+        val reply = CompletableDeferred<List<Order>?>()
+        val taken = events.trySend {
+            val now = clock.nowMicros()
+            reply.complete(
+                when {
+                    !authority.mayAnswer(now) -> null
+                    // In grace, and before the store has been read: the worker keeps its tasks, and no more.
+                    !loaded || !authority.mayOrder(now) -> emptyList()
+                    else -> cluster.report(report, now)
+                },
+            )
+        }
+        return if (taken.isSuccess) reply.await() else null
+    }
+
+    fun progressOf(id: String): Progress? = cluster.jobs[id]?.let { Progress(it.doneCount, it.runningCount) }
+
+    fun progress(): Map<String, Progress> = cluster.jobs.values.associate { it.id to Progress(it.doneCount, it.runningCount) }
+
+    suspend fun run() {
+        val era = load()
+        scope.launch { followJobs(era) }
+        scope.launch { every(TICK_MICROS) { events.send { if (authority.mayOrder(clock.nowMicros())) cluster.tick(clock.nowMicros()) } } }
+        for (event in events) event()
+    }
+
+    private suspend fun load(): Long {
+        while (true) {
+            val known = types()
+            if (known == null) {
+                delay(RETRY_MILLIS)
+                continue
+            }
+            cluster.types = known.associateBy { it.name }
+            try {
+                val open = store.listAll(JobKeys.OPEN_PREFIX)
+                val done = store.listAll(JobKeys.DONE_PREFIX)
+                val machines = fleetRecord.read(store.listAll(FleetRecord.PREFIX).items, cluster.types)
+                val records = open.items.map { OpenRecord.read(it) to it.stamp }
+                cluster.load(records, machines, clock.nowMicros())
+                for (item in done.items) {
+                    val (id, part) = item.key.removePrefix(JobKeys.DONE_PREFIX).split('/')
+                    cluster.jobs[id]?.let { takeDone(it, item.value.text("bits"), part.toInt()) }
+                }
+                loaded = true
+                log.info("read {} open jobs and {} machines from the store", records.size, machines.size)
+                return open.era
+            } catch (e: StoreException) {
+                log.debug("reading the store: {}", e.message)
+                delay(RETRY_MILLIS)
+            } catch (e: MalformedException) {
+                log.error("the store holds a malformed record: {}", e.message)
+                delay(SECOND_MICROS / 1_000)
+            }
+        }
+    }
+
+    private fun takeDone(job: Job, bits: String, part: Int) {
+        val set = java.util.BitSet()
+        DoneSet.decodePart(bits, part, set)
+        set.stream().forEach { job.markDone(it) }
+    }
+
+    private suspend fun followJobs(startEra: Long) {
+        var era = startEra
+        while (true) {
+            try {
+                when (val result = store.follow(JobKeys.OPEN_PREFIX, era, FOLLOW_MICROS)) {
+                    is FollowResult.News -> {
+                        if (result.changes.isNotEmpty()) events.send { result.changes.forEach(::changed) }
+                        era = maxOf(era, result.era)
+                    }
+                    FollowResult.TooOld -> {
+                        val page = store.listAll(JobKeys.OPEN_PREFIX)
+                        events.send { page.items.forEach { cluster.putJob(OpenRecord.read(it), it.stamp) } }
+                        era = page.era
+                    }
+                }
+            } catch (e: StoreException) {
+                log.debug("following jobs: {}", e.message)
+                delay(RETRY_MILLIS)
+            }
+        }
+    }
+
+    private fun changed(change: Change) {
+        val value = change.value
+        if (value == null) {
+            cluster.dropJob(change.key.removePrefix(JobKeys.OPEN_PREFIX))
+            return
+        }
+        try {
+            cluster.putJob(OpenRecord.read(value), change.stamp)
+        } catch (e: MalformedException) {
+            log.error("{}: malformed record: {}", change.key, e.message)
+        }
+    }
+
+    private val fence get() = Condition(LeaderKeys.LEADER, authority.stamp)
+
+    override fun storeOpened(job: Job) {
+        scope.launch {
+            while (true) {
+                val stamp = job.stamp
+                val result = attempt {
+                    val item = store.get(JobKeys.open(job.id)) ?: return@attempt null
+                    val record = OpenRecord.read(item)
+                    if (record.withdrawn) return@attempt null
+                    store.commit(
+                        listOf(fence, Condition(item.key, item.stamp)),
+                        listOf(Write.Put(item.key, record.with(opened = true).toMap())),
+                    )
+                }
+                when (result) {
+                    is CommitResult.Applied -> {
+                        events.send {
+                            job.opened = Job.Opened.YES
+                            cluster.dirty = true
+                        }
+                        return@launch
+                    }
+                    is CommitResult.Conflict -> if (LeaderKeys.LEADER in result.failed) return@launch authority.end()
+                    else -> Unit
+                }
+                if (job.withdrawn || job.finished) return@launch
+                if (stamp == job.stamp) delay(RETRY_MILLIS)
+            }
+        }
+    }
+
+    override fun storeDone(job: Job) {
+        job.writingDone = true
+        scope.launch {
+            val parts = job.dirtyParts.stream().toArray()
+            val isDone = job.isDone
+            val bits = parts.map { DoneSet.encodePart(job.done, it) }
+            val result = attempt { if (isDone) commitDone(job) else commitParts(job, parts, bits) }
+            events.send {
+                job.writingDone = false
+                when (result) {
+                    is CommitResult.Applied -> {
+                        parts.forEach { job.dirtyParts.clear(it) }
+                        if (!isDone) {
+                            // Tasks completed while the write was under way are in the next one.
+                            for ((at, part) in parts.withIndex()) {
+                                if (DoneSet.encodePart(job.done, part) != bits[at]) job.dirtyParts.set(part)
+                            }
+                        } else {
+                            finish(job)
+                        }
+                    }
+                    is CommitResult.Conflict -> if (LeaderKeys.LEADER in result.failed) authority.end() else reread(job)
+                    else -> Unit
+                }
+            }
+        }
+    }
+
+    private fun finish(job: Job) {
+        job.finished = true
+        log.info("{}: done, {} tasks", job.id, job.spec.pieces)
+        cluster.jobs.remove(job.id)
+        cluster.dirty = true
+    }
+
+    private suspend fun commitParts(job: Job, parts: IntArray, bits: List<String>): CommitResult = store.commit(
+        listOf(fence, Condition(JobKeys.open(job.id), job.stamp)),
+        parts.mapIndexed { at, part -> Write.Put(JobKeys.donePart(job.id, part), mapOf("bits" to bits[at])) },
+    )
+
+    private suspend fun commitDone(job: Job): CommitResult {
+        val verdict = store.get(JobKeys.verdict(job.id)) ?: return CommitResult.Conflict(emptyList())
+        if (VerdictRecord.read(verdict.value).verdict.isFinal) return CommitResult.Conflict(emptyList())
+        val writes = ArrayList<Write>()
+        writes += Write.Put(verdict.key, VerdictRecord(Verdict.DONE, job.spec.pieces).toMap())
+        writes += Write.Drop(JobKeys.open(job.id))
+        for (part in 0 until DoneSet.parts(job.spec.pieces)) writes += Write.Drop(JobKeys.donePart(job.id, part))
+        return store.commit(listOf(fence, Condition(verdict.key, verdict.stamp)), writes)
+    }
+
+    /** The job's record is not what it was taken for: most likely its user has cancelled it. */
+    private fun reread(job: Job) {
+        scope.launch {
+            val item = attempt { store.get(JobKeys.open(job.id)) } ?: return@launch
+            events.send { changed(Change(item.key, item.value, item.stamp)) }
+        }
+    }
+
+    override fun dropWithdrawn(job: Job) {
+        job.writingDone = true
+        scope.launch {
+            val writes = ArrayList<Write>()
+            writes += Write.Drop(JobKeys.open(job.id))
+            for (part in 0 until DoneSet.parts(job.spec.pieces)) writes += Write.Drop(JobKeys.donePart(job.id, part))
+            val result = attempt { store.commit(listOf(fence), writes) }
+            events.send {
+                job.writingDone = false
+                if (result is CommitResult.Applied) cluster.jobs.remove(job.id)
+            }
+        }
+    }
+
+    override fun storeMachines(machines: List<Machine>) {
+        if (storingMachines) return
+        storingMachines = true
+        scope.launch {
+            val chunks = fleetRecord.with(machines)
+            val results = chunks.map { (key, value) ->
+                attempt { store.commit(listOf(fence), listOf(Write.Put(key, value))) }
+            }
+            events.send {
+                storingMachines = false
+                if (results.all { it is CommitResult.Applied }) {
+                    machines.forEach { it.onRecord = true }
+                    cluster.dirty = true
+                }
+            }
+        }
+    }
+
+    override fun returnMachines(machines: List<Machine>) {
+        machines.forEach { it.returning = true }
+        scope.launch {
+            val names = machines.map { it.name }
+            val confirmed = try {
+                cloud.giveBack(names)
+                true
+            } catch (e: CloudException) {
+                log.info("return of {}: {}", names, e.message)
+                false
+            }
+            events.send {
+                if (confirmed) cluster.returned(names) else machines.forEach { it.returning = false }
+            }
+        }
+    }
+
+    /** The result of a store call, or null if it gave none. */
+    private suspend fun <T> attempt(call: suspend () -> T?): T? = try {
+        call()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: StoreException) {
+        log.debug("{}", e.message)
+        null
+    } catch (e: MalformedException) {
+        log.error("malformed record: {}", e.message)
+        null
+    }
+
+    private suspend fun every(periodMicros: Long, action: suspend () -> Unit) {
+        while (true) {
+            delay(periodMicros / 1_000)
+            action()
+        }
+    }
+
+    private companion object {
+        const val EVENTS = 256
+        const val RETRY_MILLIS = 250L
+        const val TICK_MICROS = 250_000L
+        const val FOLLOW_MICROS = 10 * SECOND_MICROS
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -0,0 +1,375 @@
+package linemast.placement
+
+import linemast.cloud.MachineType
+import linemast.jobs.DoneSet
+import linemast.jobs.OpenRecord
+import linemast.leadership.Authority
+import linemast.settings.Settings
+import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.Order
+import linemast.workers.PieceId
+import linemast.workers.PieceReport
+import linemast.workers.PieceStatus
+import linemast.workers.Placement
+import linemast.workers.Report
+import org.slf4j.LoggerFactory
+
+/**
+ * The leader's whole state: jobs, machines, and which task may be on which machine.
+ *
+ * Pure: events and the time go in, orders and [Effects] come out. It is owned by one coroutine.
+ *
+ * That no task runs twice rests on one thing: a placement is only removed when its task is surely not on the
+ * machine, and a task with a placement is never started. Placements end here in [Cluster.remove] alone.
+ */
+class Cluster(
+    private val settings: Settings,
+    val helm: Long,
+    private val graceMicros: Long,
+    private val effects: Effects,
+) {
+    private val log = LoggerFactory.getLogger(Cluster::class.java)
+    val jobs = LinkedHashMap<String, Job>()
+    val machines = LinkedHashMap<String, Machine>()
+    var types: Map<String, MachineType> = emptyMap()
+
+    /** When the store had been read and reports began to count. */
+    var loadedMicros = 0L
+        private set
+    private var unsettled = true
+    private var attempts = 0L
+    val usage = TeamUsage(settings.teams)
+    private val placer = Placer(this, settings)
+
+    /** Set by whatever may change what can be placed. */
+    var dirty = true
+    private var lastPassMicros = 0L
+
+    /** Leases that some leader could have renewed are over after this long, on any clock. */
+    private val leaseSpanMicros = settings.workers.leaseMicros.let { it + 2 * Authority.drift(it) + LEASE_MARGIN_MICROS }
+
+    /** Whether every task that an earlier leader started has been seen or is surely gone. */
+    val settled: Boolean get() = !unsettled
+
+    fun nextAttempt(): Long = helm * ATTEMPTS_PER_HELM + ++attempts
+
+    /** Takes what the store held; reports count from [nowMicros] on. */
+    fun load(records: List<Pair<OpenRecord, Long>>, recorded: List<Machine>, nowMicros: Long) {
+        loadedMicros = nowMicros
+        for ((record, stamp) in records) jobs[record.spec.id] = Job(record, stamp, inherited = record.opened)
+        for (machine in recorded) {
+            machine.onRecord = true
+            // An earlier leader in its grace may answer this worker until then.
+            machine.leaseEndMicros = nowMicros + graceMicros + Authority.drift(graceMicros) + leaseSpanMicros
+            machines[machine.name] = machine
+        }
+        settle(nowMicros)
+    }
+
+    fun putJob(record: OpenRecord, stamp: Long) {
+        val job = jobs[record.spec.id]
+        if (job == null) {
+            jobs[record.spec.id] = Job(record, stamp, inherited = record.opened)
+        } else {
+            job.stamp = maxOf(job.stamp, stamp)
+            if (record.withdrawn) withdraw(job)
+        }
+        dirty = true
+    }
+
+    /** The open record is gone: the job is over and nothing of it can be on a machine. */
+    fun dropJob(id: String) {
+        val job = jobs[id] ?: return
+        if (job.placements.any { !it.isAssigned }) return
+        unassign(job)
+        jobs.remove(id)
+        dirty = true
+    }
+
+    fun withdraw(job: Job) {
+        if (job.withdrawn) return
+        job.withdrawn = true
+        log.info("{}: withdrawn by its user, {} tasks to halt", job.id, job.placements.count { !it.isAssigned })
+        unassign(job)
+        dirty = true
+    }
+
+    private fun unassign(job: Job) = job.placements.filter { it.isAssigned }.forEach(::remove)
+
+    fun addAssigned(machine: Machine, job: Job, index: Int, attempt: Long): Placement {
+        val placement = Placement(machine, PieceId(job.id, index), attempt, job)
+        put(placement)
+        return placement
+    }
+
+    private fun put(placement: Placement) {
+        placement.machine.put(placement)
+        placement.job?.add(placement)
+        placement.job?.let { usage.add(it.spec, 1) }
+    }
+
+    fun remove(placement: Placement) {
+        placement.machine.remove(placement)
+        placement.job?.let {
+            it.remove(placement)
+            usage.add(it.spec, -1)
+        }
+        dirty = true
+    }
+
+    /** Takes a report and gives the orders for its answer; null for a machine of an unknown type. */
+    fun report(report: Report, nowMicros: Long): List<Order>? {
+        val machine = machineOf(report) ?: return null
+        val newer = report.watch > machine.watch || (report.watch == machine.watch && report.tick > machine.tick)
+        // A late copy or a report overtaken by a newer one: its worker does not wait for this answer any more.
+        if (!newer) return emptyList()
+        if (report.watch > machine.watch) endSession(machine)
+        machine.watch = report.watch
+        machine.tick = report.tick
+        machine.helm = maxOf(machine.helm, report.helm)
+        machine.reportedMicros = nowMicros
+        val mayStillBeAnswered = if (report.helm >= helm) nowMicros else maxOf(nowMicros, loadedMicros + graceMicros)
+        machine.leaseEndMicros = mayStillBeAnswered + leaseSpanMicros
+        if (report.recallMicros != null && machine.recallMicros == null) {
+            log.info("{}: recalled by the cloud in {} s", machine.name, report.recallMicros / 1e6)
+            machine.draining = true
+        }
+        machine.recallMicros = report.recallMicros
+        reconcile(machine, report, nowMicros)
+        settle(nowMicros)
+        if (dirty && nowMicros - lastPassMicros >= PASS_MICROS) pass(nowMicros)
+        return orders(machine, nowMicros)
+    }
+
+    private fun machineOf(report: Report): Machine? {
+        machines[report.rig]?.let { return it }
+        val type = types[report.build] ?: return null
+        val machine = Machine(report.rig, type, report.yard, report.loaners)
+        machines[report.rig] = machine
+        dirty = true
+        return machine
+    }
+
+    /** The worker has begun a new session: it killed and forgot all it had. */
+    private fun endSession(machine: Machine) {
+        if (machine.placements.isNotEmpty()) log.info("{}: new session, {} tasks lost", machine.name, machine.placements.size)
+        machine.placements.values.toList().forEach { if (!it.isAssigned) remove(it) }
+        machine.ended.clear()
+        machine.bundles.clear()
+        dirty = true
+    }
+
+    private fun reconcile(machine: Machine, report: Report, nowMicros: Long) {
+        val seen = HashSet<String>()
+        machine.ended.clear()
+        for (piece in report.pieces) {
+            val key = Machine.key(piece.piece, piece.attempt)
+            seen += key
+            var placement = machine.placements[key]
+            if (piece.status == PieceStatus.ENDED) {
+                machine.ended[key] = piece
+                ended(machine, piece, placement, nowMicros)
+                continue
+            }
+            if (placement == null) {
+                val job = jobs[piece.piece.job]?.takeIf { piece.piece.index < it.spec.pieces }
+                placement = Placement(machine, piece.piece, piece.attempt, job)
+                placement.phase = Placement.Phase.SENT
+                placement.sentMicros = nowMicros
+                put(placement)
+                if (job != null && job.spec.isGang) adoptGang(job, piece)
+            }
+            advance(placement, piece, nowMicros)
+        }
+        val gone = machine.placements.filter { (key, placement) -> key !in seen && !placement.isAssigned }
+        gone.values.forEach { lost(it, "not reported any more") }
+        if (machine.placements.isNotEmpty()) machine.idleSinceMicros = nowMicros
+    }
+
+    private fun adoptGang(job: Job, piece: PieceReport) {
+        job.gangAttempt = maxOf(job.gangAttempt, piece.attempt)
+        job.gangAttemptUsed = true
+    }
+
+    private fun advance(placement: Placement, piece: PieceReport, nowMicros: Long) {
+        placement.phase = when (piece.status) {
+            PieceStatus.FETCHING -> Placement.Phase.FETCHING
+            PieceStatus.GATHERING -> Placement.Phase.GATHERING
+            PieceStatus.RUNNING -> Placement.Phase.RUNNING
+            PieceStatus.SAVING, PieceStatus.ENDED -> Placement.Phase.SAVING
+        }
+        if (placement.isRunning) {
+            if (placement.runningSinceMicros == 0L) placement.runningSinceMicros = nowMicros
+            placement.job?.gangRan = true
+        }
+        if (placement.phase != Placement.Phase.FETCHING) placement.job?.let { placement.machine.bundles += it.spec.bundle }
+    }
+
+    private fun ended(machine: Machine, piece: PieceReport, placement: Placement?, nowMicros: Long) {
+        if (placement != null) remove(placement)
+        val job = jobs[piece.piece.job] ?: return
+        if (piece.piece.index >= job.spec.pieces) return
+        when (piece.cause) {
+            "done" -> completed(machine, job, piece, placement, nowMicros)
+            "error" -> failed(machine, job, nowMicros)
+            else -> if (placement != null) log.debug("{}: ended on {}: {}", piece.piece, machine.name, piece.cause)
+        }
+    }
+
+    private fun completed(machine: Machine, job: Job, piece: PieceReport, placement: Placement?, nowMicros: Long) {
+        machine.failedJobs.clear()
+        job.failures = 0
+        if (placement != null && placement.runningSinceMicros > 0 && !job.spec.isGang) {
+            job.measuredMicros += nowMicros - placement.runningSinceMicros
+            job.measuredTasks++
+        }
+        if (job.finished || job.withdrawn) return
+        // A gang completes together: the end of one of its tasks is the end of all.
+        val indices = if (job.spec.isGang) 0 until job.spec.pieces else piece.piece.index..piece.piece.index
+        for (index in indices) if (job.markDone(index)) job.dirtyParts.set(DoneSet.partOf(index))
+        dirty = true
+    }
+
+    private fun failed(machine: Machine, job: Job, nowMicros: Long) {
+        if (!job.failedOn.add(machine.name) && !machine.failedJobs.add(job.id)) return
+        machine.failedJobs += job.id
+        job.failures++
+        // A job that fails wherever it goes was submitted with a mistake; a machine that fails all is broken.
+        val wait = minOf(MAX_BACK_OFF_MICROS, BACK_OFF_MICROS shl minOf(job.failures - 1, 6))
+        if (job.failures >= FAILURES_OF_A_BAD_JOB) job.backOffUntilMicros = nowMicros + wait
+        if (machine.failedJobs.size >= JOBS_OF_A_BAD_MACHINE && !machine.draining) {
+            log.info("{}: {} jobs failed here with none completed, taken out of use", machine.name, machine.failedJobs.size)
+            machine.draining = true
+        }
+        dirty = true
+    }
+
+    private fun lost(placement: Placement, why: String) {
+        if (placement.phase != Placement.Phase.SENT) log.info("{} on {}: {}", placement.piece, placement.machine.name, why)
+        remove(placement)
+    }
+
+    private fun orders(machine: Machine, nowMicros: Long): List<Order> {
+        val orders = ArrayList<Order>()
+        for (piece in machine.ended.values) if (mayClear(machine, piece)) orders += Order.Clear(piece.piece, piece.attempt)
+        for (placement in machine.placements.values.toList()) {
+            if (orders.size >= MAX_ORDERS) break
+            if (placement.isAssigned) {
+                if (!mayStart(machine, placement, nowMicros)) {
+                    remove(placement)
+                    continue
+                }
+                placement.phase = Placement.Phase.SENT
+                placement.sentMicros = nowMicros
+                placement.job?.gangAttemptUsed = true
+                orders += Order.Start(placement.piece, placement.attempt)
+            } else if (shouldHalt(placement)) {
+                orders += Order.Halt(placement.piece, placement.attempt, placement.haltWindDownMicros)
+            }
+        }
+        return orders
+    }
+
+    /** A result may be forgotten by the worker only once the store has it. */
+    private fun mayClear(machine: Machine, piece: PieceReport): Boolean {
+        val job = jobs[piece.piece.job]
+        if (job == null || job.withdrawn || job.finished) return true
+        if (job.spec.isGang) job.clearedGang += "${machine.name}#${piece.attempt}"
+        if (piece.cause != "done") return true
+        val part = DoneSet.partOf(piece.piece.index)
+        return !job.dirtyParts.get(part) && !job.writingDone
+    }
+
+    private fun mayStart(machine: Machine, placement: Placement, nowMicros: Long): Boolean {
+        val job = placement.job ?: return false
+        return !job.withdrawn && !job.finished && !machine.draining && machine.onRecord && placer.startable(job, nowMicros)
+    }
+
+    private fun shouldHalt(placement: Placement): Boolean {
+        val job = placement.job
+        if (job == null || job.withdrawn || job.finished || job.done.get(placement.piece.index)) {
+            placement.haltWindDownMicros = 0
+            return true
+        }
+        if (job.spec.isGang && placement.attempt < job.gangAttempt) {
+            placement.haltWindDownMicros = 0
+            return true
+        }
+        return placement.haltReason != null
+    }
+
+    /** Regular work: ends leases, follows up on cancelled jobs, places what can be placed. */
+    fun tick(nowMicros: Long) {
+        for (machine in machines.values.toList()) {
+            if (nowMicros >= machine.leaseEndMicros && machine.placements.isNotEmpty()) {
+                log.info("{}: silent for longer than a lease, {} tasks lost", machine.name, machine.placements.size)
+                machine.placements.values.toList().forEach(::remove)
+                machine.ended.clear()
+            }
+        }
+        settle(nowMicros)
+        val unrecorded = machines.values.filter { !it.onRecord && it.reportedMicros > 0 }
+        if (unrecorded.isNotEmpty()) effects.storeMachines(unrecorded)
+        for (job in jobs.values.toList()) follow(job)
+        if (dirty && nowMicros - lastPassMicros >= PASS_MICROS) pass(nowMicros)
+    }
+
+    private fun follow(job: Job) {
+        if (job.withdrawn) {
+            if (settled && job.placements.isEmpty() && !job.writingDone) effects.dropWithdrawn(job)
+        } else if (!job.finished && !job.writingDone && !job.dirtyParts.isEmpty) {
+            effects.storeDone(job)
+        }
+    }
+
+    private fun pass(nowMicros: Long) {
+        lastPassMicros = nowMicros
+        dirty = false
+        placer.pass(nowMicros)
+    }
+
+    fun open(job: Job) {
+        if (job.opened != Job.Opened.NO) return
+        job.opened = Job.Opened.STORING
+        effects.storeOpened(job)
+    }
+
+    /**
+     * Ends the time in which tasks of an earlier leader may run unseen: when each machine on record has shown
+     * this helm, so that it drops older orders, or its lease is surely over.
+     */
+    private fun settle(nowMicros: Long) {
+        if (!unsettled) return
+        if (machines.values.any { it.onRecord && it.helm < helm && nowMicros < it.leaseEndMicros }) return
+        unsettled = false
+        dirty = true
+        log.info("settled {} ms after loading: {} machines, {} jobs", (nowMicros - loadedMicros) / 1_000, machines.size, jobs.size)
+    }
+
+    /** The cloud has confirmed that these are gone. */
+    fun returned(names: Collection<String>) {
+        for (name in names) {
+            val machine = machines.remove(name) ?: continue
+            machine.placements.values.toList().forEach(::remove)
+        }
+        dirty = true
+    }
+
+    /** Amounts that unseen tasks of earlier leaders may use, by team: they count in full against the caps. */
+    fun unseen(team: String, amount: (Job) -> Double): Double {
+        if (!unsettled) return 0.0
+        return jobs.values.filter { it.inherited && it.spec.crew == team }.sumOf { it.pendingCount * amount(it) }
+    }
+
+    private companion object {
+        const val ATTEMPTS_PER_HELM = 1L shl 24
+        const val LEASE_MARGIN_MICROS = 300_000L
+        const val PASS_MICROS = 100_000L
+        const val MAX_ORDERS = 300
+        const val BACK_OFF_MICROS = 4_000_000L
+        const val MAX_BACK_OFF_MICROS = 120_000_000L
+        const val FAILURES_OF_A_BAD_JOB = 4
+        const val JOBS_OF_A_BAD_MACHINE = 2
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/placement/Effects.kt
@@ -0,0 +1,21 @@
+package linemast.placement
+
+import linemast.workers.Job
+import linemast.workers.Machine
+
+/** What the leader's state wants done in the outside world. */
+interface Effects {
+    /** Store that tasks of this job may be started from now on. */
+    fun storeOpened(job: Job)
+
+    /** Store the changed parts of its done set, and its end when it is done. */
+    fun storeDone(job: Job)
+
+    /** Store that these machines may run tasks. */
+    fun storeMachines(machines: List<Machine>)
+
+    /** A cancelled job has no task left anywhere: drop its open record. */
+    fun dropWithdrawn(job: Job)
+
+    fun returnMachines(machines: List<Machine>)
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -0,0 +1,222 @@
+package linemast.placement
+
+import linemast.settings.Settings
+import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.Placement
+import org.slf4j.LoggerFactory
+
+/**
+ * Chooses machines for tasks.
+ *
+ * Each pass forgets all choices whose command has not left yet and chooses anew: guarantees first, then
+ * urgency, then deadline, then age. What a pass chooses leaves with the machine's next report.
+ */
+class Placer(private val cluster: Cluster, private val settings: Settings) {
+    private val log = LoggerFactory.getLogger(Placer::class.java)
+    private val scarce = ScarceTypes()
+    private val staleMicros = settings.workers.reportMicros * 5 / 2 + REPORT_SLACK_MICROS
+    private val windDownMicros = settings.workers.gangPeerMicros
+
+    fun startable(job: Job, nowMicros: Long): Boolean =
+        job.opened == Job.Opened.YES && !job.withdrawn && !job.finished &&
+            nowMicros >= job.backOffUntilMicros && (!job.inherited || cluster.settled)
+
+    fun pass(nowMicros: Long) {
+        for (machine in cluster.machines.values) {
+            machine.placements.values.filter { it.isAssigned }.forEach(cluster::remove)
+            if (nowMicros >= machine.reservedUntilMicros) machine.reservedFor = null
+        }
+        cluster.dirty = false
+        val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage)
+        scarce.learn(jobs.map { it.job.spec }, cluster.types.values, nowMicros)
+        for (ranked in jobs) {
+            val job = ranked.job
+            if (job.withdrawn || job.finished || job.pendingCount == 0) continue
+            if (job.opened == Job.Opened.NO) cluster.open(job)
+            if (!startable(job, nowMicros)) {
+                if (nowMicros < job.backOffUntilMicros) cluster.dirty = true
+                continue
+            }
+            if (job.spec.isGang) placeGang(job, nowMicros) else placeSweep(job, nowMicros)
+        }
+    }
+
+    private fun roomInTeam(job: Job): Int = cluster.usage.room(
+        job.spec,
+        cluster.unseen(job.spec.crew) { it.spec.vcpus },
+        cluster.unseen(job.spec.crew) { it.spec.gpus },
+    )
+
+    private fun placeSweep(job: Job, nowMicros: Long) {
+        var left = minOf(roomInTeam(job), job.pendingCount)
+        if (left == 0) return
+        val places = PlaceRules(job)
+        var index = job.nextPending(0)
+        for (machine in candidates(job, nowMicros)) {
+            if (scarce.keepFree(job.spec, machine, cluster.machines.values)) continue
+            while (left > 0 && index >= 0 && machine.fits(job) && places.allows(machine.yard)) {
+                cluster.addAssigned(machine, job, index, cluster.nextAttempt())
+                places.add(machine.yard)
+                left--
+                index = job.nextPending(index + 1)
+            }
+            if (left == 0 || index < 0) return
+        }
+    }
+
+    private fun placeGang(job: Job, nowMicros: Long) {
+        if (job.placements.isEmpty()) {
+            job.gangRan = false
+            if (job.gangAttempt == 0L || job.gangAttemptUsed) {
+                job.gangAttempt = cluster.nextAttempt()
+                job.gangAttemptUsed = false
+            }
+        } else if (job.gangRan || job.placements.any { it.attempt != job.gangAttempt }) {
+            return
+        }
+        val missing = job.pendingCount
+        if (roomInTeam(job) < missing) return
+        val machines = candidates(job, nowMicros).filter { "${it.name}#${job.gangAttempt}" !in job.clearedGang }
+        val yards = if (job.spec.samePlace) machines.map { it.yard }.distinct().map(::setOf) else listOf(null)
+        for (yard in yards) {
+            if (placeWhole(job, machines.filter { yard == null || it.yard in yard }, missing)) return
+        }
+        for (yard in yards) if (makeRoom(job, yard, missing, nowMicros)) return
+    }
+
+    /** All missing tasks at once, or none. */
+    private fun placeWhole(job: Job, machines: List<Machine>, missing: Int): Boolean {
+        val places = PlaceRules(job)
+        val chosen = ArrayList<Placement>()
+        var index = job.nextPending(0)
+        for (machine in machines) {
+            while (index >= 0 && machine.fits(job) && places.allows(machine.yard)) {
+                chosen += cluster.addAssigned(machine, job, index, job.gangAttempt)
+                places.add(machine.yard)
+                index = job.nextPending(index + 1)
+            }
+        }
+        if (chosen.size == missing) return true
+        chosen.forEach(cluster::remove)
+        return false
+    }
+
+    /** Stops less urgent work so that the missing tasks of a gang fit soon; their machines are kept for it. */
+    private fun makeRoom(job: Job, yard: Set<String>?, missing: Int, nowMicros: Long): Boolean {
+        val machines = usable(job, nowMicros).filter { yard == null || it.yard in yard }
+        val kept = machines.count { it.reservedFor === job }
+        if (kept >= missing) return true
+        val offers = machines.filter { it.reservedFor == null }
+            .mapNotNull { machine -> victims(job, machine)?.let { machine to it } }
+            .sortedBy { (_, stopped) -> stopped.sumOf { lostWork(it, nowMicros) } }
+            .take(missing - kept)
+        if (offers.size + kept < missing) return false
+        for ((machine, stopped) in offers) {
+            machine.reservedFor = job
+            machine.reservedUntilMicros = nowMicros + RESERVATION_MICROS
+            stopped.filter { it.haltReason == null }.forEach { halt(it, "room for ${job.id}") }
+        }
+        return true
+    }
+
+    /** The tasks to stop on [machine] so that one of [job] fits; null if that is not allowed or not enough. */
+    private fun victims(job: Job, machine: Machine): List<Placement>? {
+        val stoppable = machine.placements.values.filter { other ->
+            val spec = other.job?.spec ?: return@filter false
+            spec.urgency > job.spec.urgency && !spec.isGang
+        }
+        var cpus = machine.freeVcpus
+        val chosen = ArrayList<Placement>()
+        for (placement in stoppable.sortedByDescending { it.sentMicros }) {
+            if (cpus + EPSILON >= job.spec.vcpus) break
+            chosen += placement
+            cpus += placement.job?.spec?.vcpus ?: 0.0
+        }
+        return if (cpus + EPSILON >= job.spec.vcpus) chosen else null
+    }
+
+    private fun lostWork(placement: Placement, nowMicros: Long): Double {
+        val spec = placement.job?.spec ?: return 0.0
+        return if (spec.neverSaves) (nowMicros - placement.sentMicros) * spec.vcpus else spec.markMicros * spec.vcpus
+    }
+
+    private fun halt(placement: Placement, reason: String) {
+        placement.haltReason = reason
+        val spec = placement.job?.spec
+        placement.haltWindDownMicros = if (spec == null || spec.neverSaves) 0 else spec.markMicros + windDownMicros
+        log.info("{} on {}: halted, {}", placement.piece, placement.machine.name, reason)
+    }
+
+    /** Machines that may get a task of [job] now, the best first. */
+    private fun candidates(job: Job, nowMicros: Long): List<Machine> = usable(job, nowMicros)
+        .filter { (it.reservedFor == null || it.reservedFor === job) && it.fits(job) }
+        .sortedWith(
+            compareBy(
+                { it.reservedFor !== job },
+                { it.type.vcpus + it.type.gpus * GPU_WEIGHT },
+                { job.spec.bundle !in it.bundles },
+                { it.freeVcpus },
+            ),
+        )
+
+    private fun usable(job: Job, nowMicros: Long): List<Machine> = cluster.machines.values.filter {
+        !it.draining && it.onRecord && it.reportedMicros > 0 && nowMicros - it.reportedMicros < staleMicros &&
+            it.type.takes(job.spec) && (job.spec.loaners || !it.loaners) &&
+            (job.spec.yard == null || job.spec.yard == it.yard) && it.name !in job.failedOn
+    }
+
+    private companion object {
+        const val REPORT_SLACK_MICROS = 1_500_000L
+        const val RESERVATION_MICROS = 15_000_000L
+        const val GPU_WEIGHT = 16.0
+        const val EPSILON = 1e-6
+    }
+}
+
+/** Counts a job's tasks by zone and tells where one more may start. */
+private class PlaceRules(private val job: Job) {
+    private val byYard = HashMap<String, Int>()
+
+    init {
+        if (job.spec.samePlace || job.spec.apart) job.placements.forEach { add(it.machine.yard) }
+    }
+
+    fun add(yard: String) {
+        byYard.merge(yard, 1, Int::plus)
+    }
+
+    fun allows(yard: String): Boolean {
+        if (job.spec.samePlace && byYard.keys.any { it != yard }) return false
+        return !job.spec.apart || (byYard[yard] ?: 0) < job.spec.mostInOneYard
+    }
+}
+
+/** The order in which jobs get what is free. */
+internal object JobOrder {
+    class Ranked(val job: Job, val guaranteed: Boolean)
+
+    fun sorted(jobs: Collection<Job>, usage: TeamUsage): List<Ranked> {
+        val claimed = HashMap<String, Double>()
+        return jobs.filter { !it.withdrawn && !it.finished }
+            .sortedBy { it.acceptedWallMicros }
+            .map { job ->
+                val cpus = claimed.merge(job.spec.crew, job.spec.pieces * job.spec.vcpus, Double::plus) ?: 0.0
+                Ranked(job, cpus <= (usage.team(job.spec.crew)?.cpus ?: 0.0))
+            }
+            .sortedWith(
+                compareBy(
+                    { !(it.job.spec.isGang && it.job.placements.isNotEmpty()) },
+                    { !it.guaranteed },
+                    { it.job.spec.urgency.ordinal },
+                    { dueMicros(it.job) },
+                ),
+            )
+    }
+
+    /** A job without a deadline is taken as due after a few of its run times. */
+    private fun dueMicros(job: Job): Long =
+        job.acceptedWallMicros + (job.spec.dueMicros ?: (job.spec.guessMicros * RUNS_UNTIL_DUE))
+
+    private const val RUNS_UNTIL_DUE = 2
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/settings/Settings.kt
@@ -0,0 +1,46 @@
+package linemast.settings
+
+import linemast.wire.Address
+
+/** The platform's settings file, checked; see [SettingsReader]. */
+class Settings(
+    val nodeName: String,
+    val domain: String,
+    val serveOn: Address,
+    val peerListen: Address,
+    val members: List<Member>,
+    val cloud: Address,
+    val state: Address,
+    val zones: List<String>,
+    val clockOffMicros: Long,
+    val teams: List<Team>,
+    val objectives: List<Objective>,
+    val workers: WorkerSettings,
+    val stateLimits: StateLimits,
+    val cloudLimits: CloudLimits,
+    val processLimits: ProcessLimits,
+) {
+    /** Controllers in all, this one included. */
+    val controllers: Int get() = members.size + 1
+}
+
+class Member(val nodeName: String, val domain: String, val peerAddr: Address)
+
+class Team(val name: String, val cpus: Double, val cpusMax: Double, val gpus: Double, val gpusMax: Double)
+
+/** An aim the users state; only what planning and placement read of it. */
+class Objective(val kind: String, val lane: String?, val withinMicros: Long?, val share: Double?, val times: Double?)
+
+class WorkerSettings(
+    val reportMicros: Long,
+    val leaseMicros: Long,
+    val gangWaitMicros: Long,
+    val gangPeerMicros: Long,
+    val cancelMicros: Long,
+)
+
+class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
+
+class CloudLimits(val rps: Double, val listLagMicros: Long)
+
+class ProcessLimits(val cpuShare: Double, val memMb: Double, val fdLimit: Int)
--- /dev/null
+++ b/src/main/kotlin/linemast/state/StoreClient.kt
@@ -0,0 +1,149 @@
+package linemast.state
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.delay
+import linemast.settings.StateLimits
+import linemast.wire.Address
+import linemast.wire.Cbor
+import linemast.wire.Clock
+import linemast.wire.Fields
+import linemast.wire.HttpClient
+import linemast.wire.HttpReply
+import linemast.wire.MalformedException
+import linemast.wire.NoAnswerException
+import linemast.wire.SECOND_MICROS
+
+/** The state service over HTTP, within this controller's part of the service's limits. */
+class StoreClient(
+    selector: SelectorManager,
+    address: Address,
+    limits: StateLimits,
+    controllers: Int,
+    private val clock: Clock,
+) : Store {
+    private val calls = HttpClient(selector, address, MAX_CALLS, MAX_REPLY_BYTES)
+    private val renewals = HttpClient(selector, address, 1)
+    private val follows = HttpClient(selector, address, MAX_FOLLOWS, MAX_REPLY_BYTES)
+    private val requests = bucket(limits.rps / controllers)
+    private val changes = bucket(limits.writeRps / controllers)
+
+    override suspend fun get(key: String): Item? {
+        val reply = call(calls, "GET", "/keys/$key", null, Priority.ORDINARY)
+        if (reply.status == 404) return null
+        return read(reply) { Item(it.text("k"), it.child("v"), it.long("stamp")) }
+    }
+
+    override suspend fun list(under: String, after: String?): Page {
+        val from = if (after == null) "" else "&after=$after"
+        val reply = call(calls, "GET", "/keys?under=$under$from&limit=$PAGE_ITEMS", null, Priority.ORDINARY)
+        return read(reply) { page ->
+            val items = page.children("pairs").map { Item(it.text("k"), it.child("v"), it.long("stamp")) }
+            Page(items, page.flagOrNull("truncated") ?: false, page.long("era"))
+        }
+    }
+
+    override suspend fun commit(conditions: List<Condition>, writes: List<Write>, priority: Priority): CommitResult {
+        awaitTokens(changes, writes.size, priority)
+        val body = mapOf(
+            "when" to conditions.map { mapOf("k" to it.key, "stamp" to it.stamp) },
+            "writes" to writes.map { write ->
+                when (write) {
+                    is Write.Drop -> mapOf("drop" to write.key)
+                    is Write.Put -> mapOf("put" to write.key, "v" to write.value, "hold" to write.hold)
+                }
+            },
+        )
+        val reply = call(calls, "POST", "/commit", Cbor.encode(body), priority)
+        return when (reply.status) {
+            200 -> read(reply) { CommitResult.Applied(it.long("era")) }
+            409 -> CommitResult.Conflict(runCatching { reply.fields().textsOrNull("failed") }.getOrNull() ?: emptyList())
+            400 -> if (writes.any { it is Write.Put && it.hold != null }) CommitResult.NoSuchHold else refuse(reply)
+            else -> refuse(reply)
+        }
+    }
+
+    override suspend fun follow(under: String, afterEra: Long, waitMicros: Long): FollowResult {
+        val path = "/follow?under=$under&after=$afterEra&wait_ms=${waitMicros / 1_000}"
+        val reply = call(follows, "GET", path, null, Priority.ORDINARY, waitMicros + FOLLOW_GRACE_MICROS)
+        if (reply.status == 410) return FollowResult.TooOld
+        return read(reply) { news ->
+            FollowResult.News(
+                news.long("era"),
+                news.children("news").map { change ->
+                    val dropped = change.textOrNull("drop")
+                    if (dropped != null) {
+                        Change(dropped, null, change.long("stamp"))
+                    } else {
+                        Change(change.text("put"), change.child("v"), change.long("stamp"))
+                    }
+                },
+            )
+        }
+    }
+
+    override suspend fun openHold(lifeMicros: Long): Long {
+        val body = Cbor.encode(mapOf("life_ms" to lifeMicros / 1_000))
+        return read(call(renewals, "POST", "/holds", body, Priority.VITAL)) { it.long("hold") }
+    }
+
+    override suspend fun renewHold(hold: Long): Boolean {
+        val reply = call(renewals, "POST", "/holds/$hold/renew", Cbor.encode(emptyMap<String, Any?>()), Priority.VITAL)
+        if (reply.status == 404) return false
+        if (reply.status != 200) refuse(reply)
+        return true
+    }
+
+    private suspend fun call(
+        client: HttpClient,
+        method: String,
+        path: String,
+        body: ByteArray?,
+        priority: Priority,
+        timeoutMicros: Long = CALL_TIMEOUT_MICROS,
+    ): HttpReply {
+        awaitTokens(requests, 1, priority)
+        val reply = try {
+            client.call(method, path, body, timeoutMicros)
+        } catch (e: NoAnswerException) {
+            throw StoreException(e.message ?: "no answer", mayHaveRun = true)
+        }
+        if (reply.status == 503 || reply.status == 429) refuse(reply)
+        return reply
+    }
+
+    private suspend fun awaitTokens(bucket: TokenBucket, count: Int, priority: Priority) {
+        val vital = priority == Priority.VITAL
+        val deadline = clock.nowMicros() + TOKEN_WAIT_MICROS
+        while (!bucket.tryTake(count, vital, clock.nowMicros())) {
+            val wait = bucket.waitMicros(count, vital, clock.nowMicros())
+            if (clock.nowMicros() + wait > deadline) throw StoreException("no token within the wait", mayHaveRun = false)
+            delay(wait / 1_000 + 1)
+        }
+    }
+
+    private fun refuse(reply: HttpReply): Nothing =
+        throw StoreException("the state service answered ${reply.status}", mayHaveRun = false)
+
+    private inline fun <T> read(reply: HttpReply, decode: (Fields) -> T): T {
+        if (reply.status != 200) refuse(reply)
+        return try {
+            decode(reply.fields())
+        } catch (e: MalformedException) {
+            throw StoreException("malformed answer from the state service: ${e.message}", mayHaveRun = true)
+        }
+    }
+
+    private fun bucket(perSecond: Double) = TokenBucket(perSecond * USED_SHARE, perSecond * USED_SHARE, perSecond * VITAL_SHARE)
+
+    private companion object {
+        const val MAX_CALLS = 6
+        const val MAX_FOLLOWS = 3
+        const val PAGE_ITEMS = 500
+        const val MAX_REPLY_BYTES = 4 * 1024 * 1024
+        const val USED_SHARE = 0.9
+        const val VITAL_SHARE = 0.2
+        const val CALL_TIMEOUT_MICROS = 2 * SECOND_MICROS
+        const val FOLLOW_GRACE_MICROS = 5 * SECOND_MICROS
+        const val TOKEN_WAIT_MICROS = 3 * SECOND_MICROS
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/wire/Address.kt
@@ -0,0 +1,15 @@
+package linemast.wire
+
+/** Host and port of an endpoint, as the settings write it: `10.0.0.1:8080`. */
+data class Address(val host: String, val port: Int) {
+    override fun toString() = "$host:$port"
+
+    companion object {
+        /** Null when [text] is not an address. */
+        fun parse(text: String): Address? {
+            val host = text.substringBeforeLast(':', "")
+            val port = text.substringAfterLast(':').toIntOrNull() ?: return null
+            return if (host.isEmpty() || port !in 1..65535) null else Address(host, port)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/wire/Clock.kt
@@ -0,0 +1,12 @@
+package linemast.wire
+
+/** The steady clock in whole microseconds; never the time of day. */
+fun interface Clock {
+    fun nowMicros(): Long
+}
+
+object SteadyClock : Clock {
+    override fun nowMicros(): Long = System.nanoTime() / 1_000
+}
+
+const val SECOND_MICROS = 1_000_000L
--- /dev/null
+++ b/src/main/kotlin/linemast/workers/Job.kt
@@ -0,0 +1,93 @@
+package linemast.workers
+
+import linemast.jobs.OpenRecord
+import org.agrona.collections.Int2IntCounterMap
+import java.util.BitSet
+
+/** An unfinished job as the leader sees it. */
+class Job(record: OpenRecord, stamp: Long, val inherited: Boolean) {
+    val spec = record.spec
+    val id: String get() = spec.id
+    val acceptedWallMicros = record.acceptedWallMicros
+
+    /** Revision of its record in the store that the leader last saw. */
+    var stamp = stamp
+
+    enum class Opened { NO, STORING, YES }
+
+    /** Whether the store says that tasks may have been started. */
+    var opened = if (record.opened) Opened.YES else Opened.NO
+    var withdrawn = record.withdrawn
+
+    val done = BitSet()
+    var doneCount = 0
+        private set
+
+    /** Parts of the done set that changed since they were last written. */
+    val dirtyParts = BitSet()
+    var writingDone = false
+    var finished = false
+
+    /** All that may be on a machine, or is assigned to one. */
+    val placements = LinkedHashSet<Placement>()
+    private val live = Int2IntCounterMap(0)
+
+    /** Tasks that are done, or may be on a machine, or are assigned. */
+    private val taken = BitSet()
+    var takenCount = 0
+        private set
+
+    var gangAttempt = 0L
+    /** Whether a start of [gangAttempt] has left. */
+    var gangAttemptUsed = false
+
+    /** Whether [gangAttempt] was seen running: it cannot be completed by a replacement any more. */
+    var gangRan = false
+    var failures = 0
+    val failedOn = HashSet<String>()
+    var backOffUntilMicros = 0L
+
+    /** Machine and attempt pairs that were cleared: starting the same again there would run it once more. */
+    val clearedGang = HashSet<String>()
+
+    /** Run times of completed tasks against the owner's guess. */
+    var measuredMicros = 0L
+    var measuredTasks = 0
+
+    val pendingCount: Int get() = spec.pieces - takenCount
+    val isDone: Boolean get() = doneCount == spec.pieces
+    val runningCount: Int get() = placements.count { it.phase == Placement.Phase.RUNNING }
+
+    fun nextPending(from: Int): Int = taken.nextClearBit(from).let { if (it < spec.pieces) it else -1 }
+
+    fun isLive(index: Int): Boolean = live.get(index) > 0
+
+    fun markDone(index: Int): Boolean {
+        if (index >= spec.pieces || done.get(index)) return false
+        done.set(index)
+        doneCount++
+        take(index)
+        return true
+    }
+
+    fun add(placement: Placement) {
+        if (!placements.add(placement)) return
+        live.incrementAndGet(placement.piece.index)
+        take(placement.piece.index)
+    }
+
+    fun remove(placement: Placement) {
+        if (!placements.remove(placement)) return
+        val index = placement.piece.index
+        if (live.decrementAndGet(index) == 0 && !done.get(index)) {
+            taken.clear(index)
+            takenCount--
+        }
+    }
+
+    private fun take(index: Int) {
+        if (taken.get(index)) return
+        taken.set(index)
+        takenCount++
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -0,0 +1,120 @@
+package linemast.workers
+
+import linemast.cloud.MachineType
+
+/** What the leader knows of a task that may be on a machine. */
+class Placement(
+    val machine: Machine,
+    val piece: PieceId,
+    val attempt: Long,
+    /** Null for a task of a job the leader does not know any more. */
+    val job: Job?,
+) {
+    enum class Phase {
+        /** Chosen, no command has left: may be dropped at will. */
+        ASSIGNED,
+
+        /** A start has left in an answer, and no newer report has come yet. */
+        SENT,
+        FETCHING,
+        GATHERING,
+        RUNNING,
+        SAVING,
+    }
+
+    var phase = Phase.ASSIGNED
+    var sentMicros = 0L
+    var runningSinceMicros = 0L
+
+    /** Why it is being stopped; null while it is meant to go on. */
+    var haltReason: String? = null
+    var haltWindDownMicros = 0L
+
+    val isAssigned: Boolean get() = phase == Phase.ASSIGNED
+    val isRunning: Boolean get() = phase == Phase.RUNNING
+}
+
+/** A machine whose worker has reported, or that is on record as one that may run tasks. */
+class Machine(
+    val name: String,
+    val type: MachineType,
+    val yard: String,
+    val loaners: Boolean,
+) {
+    var watch = 0L
+    var tick = 0L
+
+    /** Highest helm the worker has shown. */
+    var helm = 0L
+
+    /** When the last report came that was newer than all before it; 0 if none came to this leader. */
+    var reportedMicros = 0L
+
+    /** From here on its worker has surely ended its session, unless another report is answered. */
+    var leaseEndMicros = 0L
+
+    var recallMicros: Long? = null
+
+    /** Keyed by task and attempt, so that two attempts of one task both count. */
+    val placements = LinkedHashMap<String, Placement>()
+
+    /** Ended tasks to be cleared once their result is stored. */
+    val ended = LinkedHashMap<String, PieceReport>()
+
+    /** Whether its name is stored among those that may run tasks. */
+    var onRecord = false
+
+    /** Part of the standing fleet: never returned by the planner. */
+    var owned = false
+
+    /** No further starts: being returned, recalled, or found faulty. */
+    var draining = false
+    var returning = false
+
+    /** Jobs that failed here since a task was last completed here. */
+    val failedJobs = HashSet<String>()
+
+    /** Kept free for this job while tasks are stopped to make room for it. */
+    var reservedFor: Job? = null
+    var reservedUntilMicros = 0L
+    var idleSinceMicros = 0L
+    val bundles = LinkedHashSet<String>()
+
+    var usedVcpus = 0.0
+        private set
+    var usedGpus = 0.0
+        private set
+    var usedMemoryGb = 0.0
+        private set
+
+    val freeVcpus: Double get() = type.vcpus - usedVcpus
+
+    fun fits(job: Job): Boolean = job.spec.let {
+        it.vcpus <= type.vcpus - usedVcpus + EPSILON &&
+            it.gpus <= type.gpus - usedGpus + EPSILON &&
+            it.memoryGb <= type.memoryGb - usedMemoryGb + EPSILON
+    }
+
+    fun put(placement: Placement) {
+        placements[key(placement.piece, placement.attempt)] = placement
+        count(placement, 1)
+    }
+
+    fun remove(placement: Placement) {
+        if (placements.remove(key(placement.piece, placement.attempt)) != null) count(placement, -1)
+    }
+
+    private fun count(placement: Placement, sign: Int) {
+        // A task of an unknown job takes an unknown amount: the whole machine, until it is gone.
+        val spec = placement.job?.spec
+        usedVcpus += sign * (spec?.vcpus ?: type.vcpus)
+        usedGpus += sign * (spec?.gpus ?: type.gpus)
+        usedMemoryGb += sign * (spec?.memoryGb ?: type.memoryGb)
+    }
+
+    companion object {
+        private const val EPSILON = 1e-6
+
+        fun key(piece: PieceId, attempt: Long) = "$piece#$attempt"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/workers/Report.kt
@@ -0,0 +1,101 @@
+package linemast.workers
+
+import linemast.jobs.JobSpec
+import linemast.wire.Fields
+import linemast.wire.MalformedException
+
+enum class PieceStatus(val wire: String) {
+    FETCHING("fetching"),
+    GATHERING("gathering"),
+    RUNNING("running"),
+    SAVING("saving"),
+    ENDED("ended"),
+    ;
+
+    companion object {
+        private val byWire = entries.associateBy { it.wire }
+
+        fun of(wire: String): PieceStatus? = byWire[wire]
+    }
+}
+
+/** A task: job and number. */
+data class PieceId(val job: String, val index: Int) {
+    override fun toString() = "$job/$index"
+
+    companion object {
+        fun parse(text: String): PieceId? {
+            val job = text.substringBefore('/')
+            val index = text.substringAfter('/', "").toIntOrNull() ?: return null
+            return if (JobSpec.isId(job) && index >= 0) PieceId(job, index) else null
+        }
+    }
+}
+
+class PieceReport(
+    val piece: PieceId,
+    val attempt: Long,
+    val status: PieceStatus,
+    val cause: String?,
+    val saved: Boolean,
+)
+
+/** What a worker says of itself. */
+class Report(
+    val rig: String,
+    val addr: String,
+    val build: String,
+    val yard: String,
+    val loaners: Boolean,
+    val watch: Long,
+    val tick: Long,
+    val helm: Long,
+    val recallMicros: Long?,
+    val pieces: List<PieceReport>,
+) {
+    companion object {
+        fun read(fields: Fields) = Report(
+            rig = fields.text("rig"),
+            addr = fields.textOrNull("addr") ?: "",
+            build = fields.text("build"),
+            yard = fields.text("yard"),
+            loaners = fields.flagOrNull("loaners") ?: false,
+            watch = fields.long("watch"),
+            tick = fields.long("tick"),
+            helm = fields.long("helm"),
+            recallMicros = fields.microsOrNull("recall_s"),
+            pieces = fields.children("pieces").map(::piece),
+        )
+
+        private fun piece(fields: Fields) = PieceReport(
+            piece = PieceId.parse(fields.text("piece")) ?: throw MalformedException("piece: is not a task"),
+            attempt = fields.long("try"),
+            status = PieceStatus.of(fields.text("status")) ?: fields.fail("status", "is unknown"),
+            cause = fields.textOrNull("cause"),
+            saved = fields.flagOrNull("saved") ?: false,
+        )
+    }
+}
+
+/** A command to a worker; they travel only in the answer to a report. */
+sealed interface Order {
+    val piece: PieceId
+    val attempt: Long
+
+    fun toMap(): Map<String, Any?>
+
+    class Start(override val piece: PieceId, override val attempt: Long) : Order {
+        override fun toMap() = order("start")
+    }
+
+    class Halt(override val piece: PieceId, override val attempt: Long, val windDownMicros: Long) : Order {
+        override fun toMap() = order("halt") + ("wind_down_s" to windDownMicros / 1e6)
+    }
+
+    class Clear(override val piece: PieceId, override val attempt: Long) : Order {
+        override fun toMap() = order("clear")
+    }
+}
+
+private fun Order.order(verb: String): Map<String, Any?> =
+    mapOf("verb" to verb, "piece" to piece.toString(), "try" to attempt)
