--- a/src/main/kotlin/linemast/app/Controller.kt
+++ b/src/main/kotlin/linemast/app/Controller.kt
@@ -17,6 +17,7 @@
 import linemast.leadership.Election
 import linemast.leadership.LeaderDuty
 import linemast.leadership.LeaderView
+import linemast.planning.Policy
 import linemast.settings.Settings
 import linemast.state.CommitResult
 import linemast.state.Condition
@@ -29,7 +30,6 @@
 import linemast.wire.HttpRequest
 import linemast.wire.HttpResponse
 import linemast.wire.HttpServer
-import linemast.wire.SECOND_MICROS
 import linemast.wire.SteadyClock
 import linemast.workers.Report
 import org.slf4j.LoggerFactory
@@ -38,6 +38,7 @@
 /** One controller: puts the slices together and runs them until it is cancelled. */
 class Controller(
     private val settings: Settings,
+    private val policy: Policy,
     private val selector: SelectorManager,
     private val clock: Clock = SteadyClock,
     private val store: Store =
@@ -58,13 +59,13 @@
             teams = settings.teams.associateBy { it.name },
             types = { types },
             progress = { id -> duty?.progressOf(id) },
-            wallMicros = { System.currentTimeMillis() * 1_000 },
+            wallMicros = ::wallMicros,
         )
         val server = HttpServer(selector, settings.serveOn, settings.processLimits.fdLimit - RESERVED_SOCKETS) { route(it, desk) }
         launch { server.serve(this) }
         launch { learnTypes() }
         val election = Election(
-            store, clock, settings.nodeName, HOLD_MICROS, graceMicros, view,
+            store, clock, settings.nodeName, policy.leaderHoldMicros, graceMicros, view,
             onElected = { authority -> startDuty(authority, this) },
             onLost = ::stopDuty,
         )
@@ -74,12 +75,14 @@
 
     private fun startDuty(authority: Authority, parent: CoroutineScope) {
         val scope = CoroutineScope(parent.coroutineContext + SupervisorJob(parent.coroutineContext[Job]))
-        val next = LeaderDuty(settings, store, cloud, clock, authority, graceMicros, scope) { types }
+        val next = LeaderDuty(settings, policy, store, cloud, clock, authority, graceMicros, scope, ::wallMicros) { types }
         dutyScope = scope
         duty = next
         scope.launch { next.run() }
     }
 
+    private fun wallMicros(): Long = System.currentTimeMillis() * 1_000
+
     private fun stopDuty() {
         duty = null
         dutyScope?.cancel()
@@ -140,7 +143,6 @@
     }
 
     private companion object {
-        const val HOLD_MICROS = 4 * SECOND_MICROS
         const val RESERVED_SOCKETS = 40
         const val RETRY_MILLIS = 500L
     }
--- a/src/main/kotlin/linemast/app/Main.kt
+++ b/src/main/kotlin/linemast/app/Main.kt
@@ -3,6 +3,7 @@
 import io.ktor.network.selector.ActorSelectorManager
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.runBlocking
+import linemast.planning.Policy
 import linemast.settings.SettingsException
 import linemast.settings.SettingsReader
 import picocli.CommandLine
@@ -78,7 +79,7 @@
     }
     val main = singleThread("main")
     val selector = ActorSelectorManager(singleThread("selector"))
-    runBlocking(main) { Controller(settings, selector).run() }
+    runBlocking(main) { Controller(settings, Policy(), selector).run() }
     return 0
 }
 
--- a/src/main/kotlin/linemast/app/Rehearsal.kt
+++ b/src/main/kotlin/linemast/app/Rehearsal.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import linemast.planning.Policy
 import linemast.settings.Settings
 import linemast.settings.SettingsReader
 import linemast.wire.Address
@@ -35,7 +36,7 @@
             val settings = settings(outside)
             val store = RehearsalStore()
             launch { HttpServer(selector, outside, 64, store::answer).serve(this) }
-            launch { Controller(settings, selector).run() }
+            launch { Controller(settings, Policy(), selector).run() }
             play(HttpClient(selector, settings.serveOn, 4))
             coroutineContext.cancelChildren()
         }
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -6,9 +6,14 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import linemast.cloud.Cloud
 import linemast.cloud.CloudException
+import linemast.cloud.Fleet
 import linemast.cloud.MachineType
+import linemast.cloud.RentRequest
+import linemast.cloud.RentResult
 import linemast.jobs.DoneSet
 import linemast.jobs.JobKeys
 import linemast.jobs.OpenRecord
@@ -17,11 +22,16 @@
 import linemast.jobs.VerdictRecord
 import linemast.placement.Cluster
 import linemast.placement.Effects
+import linemast.planning.Planner
+import linemast.planning.Policy
+import linemast.planning.Steward
+import linemast.planning.TaskTimes
 import linemast.settings.Settings
 import linemast.state.Change
 import linemast.state.CommitResult
 import linemast.state.Condition
 import linemast.state.FollowResult
+import linemast.state.Item
 import linemast.state.Store
 import linemast.state.StoreException
 import linemast.state.Write
@@ -35,6 +45,7 @@
 import linemast.workers.Order
 import linemast.workers.Report
 import org.slf4j.LoggerFactory
+import java.util.BitSet
 
 /**
  * All that one time of leading does, from reading the store to losing the lead.
@@ -43,20 +54,27 @@
  */
 class LeaderDuty(
     private val settings: Settings,
+    private val policy: Policy,
     private val store: Store,
     private val cloud: Cloud,
     private val clock: Clock,
     private val authority: Authority,
     private val graceMicros: Long,
     private val scope: CoroutineScope,
+    private val wallMicros: () -> Long,
     private val types: () -> List<MachineType>?,
 ) : Effects {
     private val log = LoggerFactory.getLogger(LeaderDuty::class.java)
     private val events = Channel<() -> Unit>(EVENTS)
-    private val cluster = Cluster(settings, authority.helm, graceMicros, this)
+    private val times = TaskTimes()
+    private val planner = Planner(settings, policy, times)
+    private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner::dueWallMicros)
+    private val fleet = Fleet(settings, policy, authority.helm)
+    private val steward = Steward(cluster, fleet, planner, policy)
     private val fleetRecord = FleetRecord()
     private var loaded = false
     private var storingMachines = false
+    private val fleetWrites = Mutex()
 
     /** Orders for the answer to [report]; null for an answer that leaves the worker's lease alone. */
     suspend fun answer(report: Report): List<Order>? {
@@ -83,10 +101,144 @@
     suspend fun run() {
         val era = load()
         scope.launch { followJobs(era) }
-        scope.launch { every(TICK_MICROS) { events.send { if (authority.mayOrder(clock.nowMicros())) cluster.tick(clock.nowMicros()) } } }
+        scope.launch { every(TICK_MICROS) { events.send(::tick) } }
+        scope.launch { watchCloud() }
         for (event in events) event()
     }
 
+    private fun tick() {
+        val now = clock.nowMicros()
+        if (!authority.mayOrder(now)) return
+        cluster.tick(now)
+        val actions = steward.step(wallMicros(), now)
+        actions.rentals.forEach(::rent)
+        if (actions.returns.isNotEmpty()) giveBack(actions.returns.keys.toList())
+        if (steward.freshPlan) {
+            steward.freshPlan = false
+            storePlans()
+        }
+    }
+
+    /** Keeps the cloud's list, and learns from the first one which machines are the standing fleet. */
+    private suspend fun watchCloud() {
+        while (true) {
+            try {
+                if (fleet.standing == null) learnStanding()
+                val list = cloud.machines()
+                events.send {
+                    val now = clock.nowMicros()
+                    fleet.listed(list, cluster.types, now)
+                    fleet.standing?.let(cluster::markOwned)
+                    val absent = cluster.forgetAbsent(fleet.machines.keys, now)
+                    if (absent.isNotEmpty()) storeAbsent(absent)
+                }
+            } catch (e: CloudException) {
+                log.debug("machine list: {}", e.message)
+            } catch (e: StoreException) {
+                log.debug("standing fleet: {}", e.message)
+            }
+            delay(LIST_MILLIS)
+        }
+    }
+
+    /** The standing fleet is what the first leader of all found before anything was rented. */
+    private suspend fun learnStanding() {
+        val stored = store.get(STANDING_KEY)
+        val names = if (stored != null) {
+            stored.value.textsOrNull("rigs") ?: emptyList()
+        } else {
+            val found = cloud.machines().filter { !it.loaners && it.status != "failed" }.map { it.name }
+            if (found.isEmpty()) return
+            val write = Write.Put(STANDING_KEY, mapOf("rigs" to found))
+            if (store.commit(listOf(fence, Condition(STANDING_KEY, 0L)), listOf(write)) !is CommitResult.Applied) return
+            log.info("standing fleet: {} machines", found.size)
+            found
+        }
+        events.send { fleet.standing = names.toSet() }
+    }
+
+    private fun rent(request: RentRequest) {
+        scope.launch {
+            repeat(RENT_TRIES) {
+                if (!authority.mayOrder(clock.nowMicros())) return@repeat
+                val result = try {
+                    cloud.rent(request)
+                } catch (e: CloudException) {
+                    log.error("rental {}: {}", request.charter, e.message)
+                    RentResult.NoCapacity
+                }
+                when (result) {
+                    is RentResult.Rented ->
+                        return@launch events.send { fleet.rented(request, result.names, cluster.types, clock.nowMicros()) }
+                    RentResult.NoCapacity -> return@launch events.send { fleet.refused(request, clock.nowMicros()) }
+                    RentResult.Unknown -> delay(SECOND_MICROS / 1_000)
+                }
+            }
+            events.send { fleet.gaveUp(request) }
+        }
+    }
+
+    private fun giveBack(names: List<String>) {
+        for (name in names) {
+            fleet.machines[name]?.returning = true
+            cluster.machines[name]?.draining = true
+        }
+        scope.launch {
+            val confirmed = try {
+                cloud.giveBack(names)
+                true
+            } catch (e: CloudException) {
+                log.info("return of {}: {}", names, e.message)
+                false
+            }
+            events.send {
+                if (confirmed) {
+                    fleet.gone(names)
+                    cluster.returned(names)
+                    storeAbsent(names)
+                } else {
+                    names.forEach { fleet.machines[it]?.returning = false }
+                }
+            }
+        }
+    }
+
+    private fun storeAbsent(names: List<String>) {
+        scope.launch { writeFleet { fleetRecord.without(names) } }
+    }
+
+    /** Changes the record of machines, one change at a time; after any doubt it is read again. */
+    private suspend fun writeFleet(change: () -> Map<String, Map<String, Any?>>): Boolean = fleetWrites.withLock {
+        for ((key, value) in change()) {
+            val conditions = listOf(fence, Condition(key, fleetRecord.stampOf(key)))
+            val result = attempt { store.commit(conditions, listOf(Write.Put(key, value))) }
+            if (result is CommitResult.Applied) {
+                fleetRecord.written(key, result.era)
+            } else {
+                attempt { fleetRecord.read(store.listAll(FleetRecord.PREFIX).items, cluster.types) }
+                return@withLock false
+            }
+        }
+        true
+    }
+
+    /** The plans as they stand, for operators: as many jobs as fit a value. */
+    private fun storePlans() {
+        val shown = cluster.jobs.values.take(PLANS_SHOWN).mapNotNull { job ->
+            val plan = planner.planOf(job) ?: return@mapNotNull null
+            mapOf(
+                "job" to job.id,
+                "owned" to plan.owned.map { Math.round(it) },
+                "rented" to plan.rented.map { Math.round(it) },
+                "backup" to Math.round(plan.backup),
+                "top_up" to Math.round(plan.topUp),
+            )
+        }
+        scope.launch {
+            attempt { store.commit(listOf(fence), listOf(Write.Put(PLAN_KEY, mapOf("at_us" to wallMicros(), "plans" to shown)))) }
+        }
+    }
+
     private suspend fun load(): Long {
         while (true) {
             val known = types()
@@ -103,7 +255,7 @@
                 cluster.load(records, machines, clock.nowMicros())
                 for (item in done.items) {
                     val (id, part) = item.key.removePrefix(JobKeys.DONE_PREFIX).split('/')
-                    cluster.jobs[id]?.let { takeDone(it, item.value.text("bits"), part.toInt()) }
+                    cluster.jobs[id]?.let { takeDone(it, item, part.toInt()) }
                 }
                 loaded = true
                 log.info("read {} open jobs and {} machines from the store", records.size, machines.size)
@@ -118,9 +270,10 @@
         }
     }
 
-    private fun takeDone(job: Job, bits: String, part: Int) {
-        val set = java.util.BitSet()
-        DoneSet.decodePart(bits, part, set)
+    private fun takeDone(job: Job, item: Item, part: Int) {
+        val set = BitSet()
+        DoneSet.decodePart(item.value.text("bits"), part, set)
+        job.partStamps[part] = item.stamp
         set.stream().forEach { job.markDone(it) }
     }
 
@@ -202,7 +355,10 @@
                 job.writingDone = false
                 when (result) {
                     is CommitResult.Applied -> {
-                        parts.forEach { job.dirtyParts.clear(it) }
+                        parts.forEach {
+                            job.dirtyParts.clear(it)
+                            job.partStamps[it] = result.era
+                        }
                         if (!isDone) {
                             // Tasks completed while the write was under way are in the next one.
                             for ((at, part) in parts.withIndex()) {
@@ -227,7 +383,8 @@
     }
 
     private suspend fun commitParts(job: Job, parts: IntArray, bits: List<String>): CommitResult = store.commit(
-        listOf(fence, Condition(JobKeys.open(job.id), job.stamp)),
+        listOf(fence, Condition(JobKeys.open(job.id), job.stamp)) +
+            parts.map { Condition(JobKeys.donePart(job.id, it), job.partStamps[it] ?: 0L) },
         parts.mapIndexed { at, part -> Write.Put(JobKeys.donePart(job.id, part), mapOf("bits" to bits[at])) },
     )
 
@@ -245,7 +402,11 @@
     private fun reread(job: Job) {
         scope.launch {
             val item = attempt { store.get(JobKeys.open(job.id)) } ?: return@launch
-            events.send { changed(Change(item.key, item.value, item.stamp)) }
+            val parts = attempt { store.listAll("${JobKeys.DONE_PREFIX}${job.id}/").items } ?: return@launch
+            events.send {
+                changed(Change(item.key, item.value, item.stamp))
+                parts.forEach { takeDone(job, it, it.key.substringAfterLast('/').toInt()) }
+            }
         }
     }
 
@@ -267,13 +428,10 @@
         if (storingMachines) return
         storingMachines = true
         scope.launch {
-            val chunks = fleetRecord.with(machines)
-            val results = chunks.map { (key, value) ->
-                attempt { store.commit(listOf(fence), listOf(Write.Put(key, value))) }
-            }
+            val stored = writeFleet { fleetRecord.with(machines) }
             events.send {
                 storingMachines = false
-                if (results.all { it is CommitResult.Applied }) {
+                if (stored) {
                     machines.forEach { it.onRecord = true }
                     cluster.dirty = true
                 }
@@ -281,23 +439,6 @@
         }
     }
 
-    override fun returnMachines(machines: List<Machine>) {
-        machines.forEach { it.returning = true }
-        scope.launch {
-            val names = machines.map { it.name }
-            val confirmed = try {
-                cloud.giveBack(names)
-                true
-            } catch (e: CloudException) {
-                log.info("return of {}: {}", names, e.message)
-                false
-            }
-            events.send {
-                if (confirmed) cluster.returned(names) else machines.forEach { it.returning = false }
-            }
-        }
-    }
-
     /** The result of a store call, or null if it gave none. */
     private suspend fun <T> attempt(call: suspend () -> T?): T? = try {
         call()
@@ -321,6 +462,11 @@
     private companion object {
         const val EVENTS = 256
         const val RETRY_MILLIS = 250L
+        const val LIST_MILLIS = 3_000L
+        const val RENT_TRIES = 5
+        const val PLANS_SHOWN = 40
+        const val STANDING_KEY = "standing"
+        const val PLAN_KEY = "plan"
         const val TICK_MICROS = 250_000L
         const val FOLLOW_MICROS = 10 * SECOND_MICROS
     }
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -4,6 +4,7 @@
 import linemast.jobs.DoneSet
 import linemast.jobs.OpenRecord
 import linemast.leadership.Authority
+import linemast.planning.TaskTimes
 import linemast.settings.Settings
 import linemast.workers.Job
 import linemast.workers.Machine
@@ -28,6 +29,9 @@
     val helm: Long,
     private val graceMicros: Long,
     private val effects: Effects,
+    private val times: TaskTimes,
+    /** By when a job should be complete, on the time of day. */
+    val dueWallMicros: (Job) -> Long,
 ) {
     private val log = LoggerFactory.getLogger(Cluster::class.java)
     val jobs = LinkedHashMap<String, Job>()
@@ -42,6 +46,9 @@
     val usage = TeamUsage(settings.teams)
     private val placer = Placer(this, settings)
 
+    /** Tasks of a job that the plan books on owned machines side by side. */
+    var bookings: (Job) -> Int = { 0 }
+
     /** Set by whatever may change what can be placed. */
     var dirty = true
     private var lastPassMicros = 0L
@@ -184,7 +191,7 @@
         }
         val gone = machine.placements.filter { (key, placement) -> key !in seen && !placement.isAssigned }
         gone.values.forEach { lost(it, "not reported any more") }
-        if (machine.placements.isNotEmpty()) machine.idleSinceMicros = nowMicros
+        if (machine.placements.isNotEmpty() || machine.idleSinceMicros == 0L) machine.idleSinceMicros = nowMicros
     }
 
     private fun adoptGang(job: Job, piece: PieceReport) {
@@ -223,6 +230,7 @@
         if (placement != null && placement.runningSinceMicros > 0 && !job.spec.isGang) {
             job.measuredMicros += nowMicros - placement.runningSinceMicros
             job.measuredTasks++
+            times.finished(job.spec, nowMicros - placement.runningSinceMicros)
         }
         if (job.finished || job.withdrawn) return
         // A gang completes together: the end of one of its tasks is the end of all.
@@ -347,6 +355,20 @@
         log.info("settled {} ms after loading: {} machines, {} jobs", (nowMicros - loadedMicros) / 1_000, machines.size, jobs.size)
     }
 
+    /** Which machines are owned is known by the fleet. */
+    fun markOwned(names: Set<String>) {
+        machines.values.forEach { it.owned = it.name in names }
+    }
+
+    /** Machines that are neither listed nor heard of any more; the names of those that were on record. */
+    fun forgetAbsent(listed: Set<String>, nowMicros: Long): List<String> {
+        val absent = machines.values.filter {
+            it.name !in listed && it.placements.isEmpty() && nowMicros > it.leaseEndMicros + FORGET_MICROS
+        }
+        absent.forEach { machines.remove(it.name) }
+        return absent.filter { it.onRecord }.map { it.name }
+    }
+
     /** The cloud has confirmed that these are gone. */
     fun returned(names: Collection<String>) {
         for (name in names) {
@@ -367,6 +389,7 @@
         const val LEASE_MARGIN_MICROS = 300_000L
         const val PASS_MICROS = 100_000L
         const val MAX_ORDERS = 300
+        const val FORGET_MICROS = 30_000_000L
         const val BACK_OFF_MICROS = 4_000_000L
         const val MAX_BACK_OFF_MICROS = 120_000_000L
         const val FAILURES_OF_A_BAD_JOB = 4
--- a/src/main/kotlin/linemast/placement/Effects.kt
+++ b/src/main/kotlin/linemast/placement/Effects.kt
@@ -16,6 +16,4 @@
 
     /** A cancelled job has no task left anywhere: drop its open record. */
     fun dropWithdrawn(job: Job)
-
-    fun returnMachines(machines: List<Machine>)
 }
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -28,18 +28,18 @@
             if (nowMicros >= machine.reservedUntilMicros) machine.reservedFor = null
         }
         cluster.dirty = false
-        val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage)
+        val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, cluster.dueWallMicros)
         scarce.learn(jobs.map { it.job.spec }, cluster.types.values, nowMicros)
-        for (ranked in jobs) {
-            val job = ranked.job
-            if (job.withdrawn || job.finished || job.pendingCount == 0) continue
-            if (job.opened == Job.Opened.NO) cluster.open(job)
-            if (!startable(job, nowMicros)) {
-                if (nowMicros < job.backOffUntilMicros) cluster.dirty = true
-                continue
-            }
-            if (job.spec.isGang) placeGang(job, nowMicros) else placeSweep(job, nowMicros)
-        }
+        val ready = jobs.map { it.job }.filter { it.pendingCount > 0 && isReady(it, nowMicros) }
+        // First what is booked on owned machines, then whatever is left over.
+        for (job in ready) if (job.spec.isGang) placeGang(job, nowMicros) else placeSweep(job, cluster.bookings(job), nowMicros)
+        for (job in ready) if (!job.spec.isGang && job.pendingCount > 0) placeSweep(job, Int.MAX_VALUE, nowMicros)
+    }
+
+    private fun isReady(job: Job, nowMicros: Long): Boolean {
+        if (job.opened == Job.Opened.NO) cluster.open(job)
+        if (nowMicros < job.backOffUntilMicros) cluster.dirty = true
+        return startable(job, nowMicros)
     }
 
     private fun roomInTeam(job: Job): Int = cluster.usage.room(
@@ -48,17 +48,21 @@
         cluster.unseen(job.spec.crew) { it.spec.gpus },
     )
 
-    private fun placeSweep(job: Job, nowMicros: Long) {
+    /** Starts tasks of a sweep, at most [ownedSlots] side by side on owned machines. */
+    private fun placeSweep(job: Job, ownedSlots: Int, nowMicros: Long) {
         var left = minOf(roomInTeam(job), job.pendingCount)
         if (left == 0) return
         val places = PlaceRules(job)
         var index = job.nextPending(0)
+        var ownedLeft = if (ownedSlots == Int.MAX_VALUE) ownedSlots else ownedSlots - job.placements.count { it.machine.owned }
         for (machine in candidates(job, nowMicros)) {
+            if (machine.owned && ownedLeft <= 0) continue
             if (scarce.keepFree(job.spec, machine, cluster.machines.values)) continue
             while (left > 0 && index >= 0 && machine.fits(job) && places.allows(machine.yard)) {
                 cluster.addAssigned(machine, job, index, cluster.nextAttempt())
                 places.add(machine.yard)
                 left--
+                if (machine.owned) ownedLeft--
                 index = job.nextPending(index + 1)
             }
             if (left == 0 || index < 0) return
@@ -193,10 +197,10 @@
 }
 
 /** The order in which jobs get what is free. */
-internal object JobOrder {
+object JobOrder {
     class Ranked(val job: Job, val guaranteed: Boolean)
 
-    fun sorted(jobs: Collection<Job>, usage: TeamUsage): List<Ranked> {
+    fun sorted(jobs: Collection<Job>, usage: TeamUsage, dueWallMicros: (Job) -> Long): List<Ranked> {
         val claimed = HashMap<String, Double>()
         return jobs.filter { !it.withdrawn && !it.finished }
             .sortedBy { it.acceptedWallMicros }
@@ -209,14 +213,8 @@
                     { !(it.job.spec.isGang && it.job.placements.isNotEmpty()) },
                     { !it.guaranteed },
                     { it.job.spec.urgency.ordinal },
-                    { dueMicros(it.job) },
+                    { dueWallMicros(it.job) },
                 ),
             )
     }
-
-    /** A job without a deadline is taken as due after a few of its run times. */
-    private fun dueMicros(job: Job): Long =
-        job.acceptedWallMicros + (job.spec.dueMicros ?: (job.spec.guessMicros * RUNS_UNTIL_DUE))
-
-    private const val RUNS_UNTIL_DUE = 2
 }
--- /dev/null
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -0,0 +1,181 @@
+package linemast.planning
+
+import linemast.settings.Settings
+import linemast.workers.Job
+import linemast.workers.Machine
+
+/** One job's plan: tasks per interval on owned and on rented machines. */
+class JobPlan(
+    val plannedMicros: Long,
+    val intervalMicros: Long,
+    val taskMicros: Long,
+    /** Tasks to be run on owned machines, by interval. */
+    val owned: DoubleArray,
+    /** Tasks to be run on rented machines, by interval. */
+    val rented: DoubleArray,
+    /** Tasks side by side that rented machines must be able to run. */
+    val rentedSlots: Double,
+    /** Owned room, in tasks, that was not free at once when planned. */
+    val backup: Double,
+    /** Completed tasks when the plan was made. */
+    val doneThen: Int,
+    /** Tasks by which the past interval fell short. */
+    val topUp: Double,
+) {
+    /** How many tasks should have been completed by [nowMicros]. */
+    fun dueBy(nowMicros: Long): Double {
+        val passed = (nowMicros - plannedMicros).toDouble() / intervalMicros
+        return (owned.indices).sumOf { i -> (owned[i] + rented[i]) * (passed - i).coerceIn(0.0, 1.0) }
+    }
+
+    /** Tasks side by side booked on owned machines in the interval of [nowMicros]. */
+    fun ownedSlots(nowMicros: Long): Double {
+        val i = ((nowMicros - plannedMicros) / intervalMicros).toInt()
+        if (i !in owned.indices) return 0.0
+        return owned[i] / slots(intervalMicros, taskMicros)
+    }
+
+    companion object {
+        /** How many tasks one place runs, one after another, in [spanMicros]. */
+        fun slots(spanMicros: Long, taskMicros: Long): Double = (spanMicros.toDouble() / taskMicros).coerceAtLeast(MIN_SLOTS)
+
+        private const val MIN_SLOTS = 0.05
+    }
+}
+
+/** A job's wish for rented machines. */
+class RentalWish(val job: Job, val slots: Double)
+
+/**
+ * Plans each job over long intervals as the paper does: owned targets in proportion to forecast room, the rest
+ * rented, backups for owned room that is not there yet, and a top-up for what fell short.
+ */
+class Planner(private val settings: Settings, private val policy: Policy, private val times: TaskTimes) {
+    private val plans = HashMap<String, JobPlan>()
+
+    fun planOf(job: Job): JobPlan? = plans[job.id]
+
+    fun forget(ids: Set<String>) {
+        plans.keys.retainAll(ids)
+    }
+
+    /** Plans [jobs], which come in the order in which they get room: all anew, or only those without a plan. */
+    fun plan(
+        jobs: List<Job>,
+        owned: Collection<Machine>,
+        whole: Boolean,
+        bootMicros: (Job) -> Long,
+        wallMicros: Long,
+        nowMicros: Long,
+    ) {
+        val forecast = Forecast(owned, nowMicros, policy.longIntervalMicros, INTERVALS, times)
+        for (job in jobs) {
+            val standing = plans[job.id]
+            if (!whole && standing != null) {
+                standing.owned.forEachIndexed { i, tasks ->
+                    forecast.book(job, i, tasks / JobPlan.slots(standing.intervalMicros, standing.taskMicros))
+                }
+                continue
+            }
+            val due = dueWallMicros(job) - wallMicros
+            plans[job.id] = planJob(job, forecast, due, bootMicros(job), nowMicros)
+        }
+    }
+
+    fun dueWallMicros(job: Job): Long = job.acceptedWallMicros + (job.spec.dueMicros ?: impliedDueMicros(job))
+
+    /** A job without a deadline is planned as if due when the users' aims for its lane say. */
+    private fun impliedDueMicros(job: Job): Long {
+        val lane = settings.objectives.filter { it.lane == job.spec.lane && it.withinMicros != null }
+        val finished = lane.filter { it.kind == "finished" }.mapNotNull { it.withinMicros }.minOrNull()
+        val wait = lane.filter { it.kind == "wait" }.mapNotNull { it.withinMicros }.minOrNull()
+        val byWait = wait?.let { it + job.spec.guessMicros }
+        return listOfNotNull(finished, byWait).minOrNull() ?: (job.spec.guessMicros * IMPLIED_RUNS)
+    }
+
+    private fun planJob(job: Job, forecast: Forecast, dueMicros: Long, bootMicros: Long, nowMicros: Long): JobPlan {
+        val task = times.estimateMicros(job)
+        val interval = policy.longIntervalMicros
+        // Tasks that already run are not planned again.
+        val toStart = (job.spec.pieces - job.doneCount - job.placements.count { !it.isAssigned }).coerceAtLeast(0)
+        val owned = DoubleArray(INTERVALS)
+        val rented = DoubleArray(INTERVALS)
+        // Slots that end after the deadline are of no use; one is left to a job that is late already.
+        val usable = (0 until INTERVALS).takeWhile { it == 0 || it * interval + task <= dueMicros }
+        val span = { i: Int -> minOf(interval, maxOf(dueMicros - i * interval, task)) }
+        val throughput = DoubleArray(INTERVALS) { i ->
+            if (i in usable) forecast.roomFor(job, i) * JobPlan.slots(span(i), task) else 0.0
+        }
+        val total = throughput.sum()
+        val tasks = toStart.toDouble()
+        if (job.spec.isGang) {
+            return planGang(job, forecast, tasks, task, nowMicros)
+        }
+        for (i in usable) {
+            owned[i] = if (total > 0) minOf(tasks * throughput[i] / total, throughput[i]) else 0.0
+            forecast.book(job, i, owned[i] / JobPlan.slots(span(i), task))
+        }
+        val topUp = shortfall(job, nowMicros)
+        val toRent = (tasks - owned.sum() + topUp).coerceIn(0.0, tasks)
+        fillShortIntervals(usable, owned, rented, toRent)
+        // Rented machines must first boot; what is left until the deadline tells how many are needed at once.
+        val rentedSpan = maxOf(dueMicros - bootMicros, task)
+        val rentedSlots = toRent / Math.floor(rentedSpan.toDouble() / task).coerceAtLeast(1.0)
+        val firstSlots = owned[0] / JobPlan.slots(span(0), task)
+        val backup = (firstSlots - forecast.freeNow(job)).coerceAtLeast(0.0)
+        return JobPlan(nowMicros, interval, task, owned, rented, rentedSlots, backup, job.doneCount, topUp)
+    }
+
+    /** A gang is planned whole, in the first interval, on the side that has room for it. */
+    private fun planGang(job: Job, forecast: Forecast, tasks: Double, task: Long, nowMicros: Long): JobPlan {
+        val owned = DoubleArray(INTERVALS)
+        val rented = DoubleArray(INTERVALS)
+        val fits = forecast.roomFor(job, 0) >= tasks
+        if (fits) {
+            owned[0] = tasks
+            forecast.book(job, 0, tasks)
+        } else {
+            rented[0] = tasks
+        }
+        val backup = if (fits && forecast.freeNow(job) < tasks) tasks else 0.0
+        val interval = policy.longIntervalMicros
+        return JobPlan(nowMicros, interval, task, owned, rented, rented[0], backup, job.doneCount, 0.0)
+    }
+
+    /** Rented throughput goes first where owned throughput is least, so that the sum is even. */
+    private fun fillShortIntervals(usable: List<Int>, owned: DoubleArray, rented: DoubleArray, toRent: Double) {
+        if (usable.isEmpty() || toRent <= 0) return
+        var left = toRent
+        val byOwned = usable.sortedBy { owned[it] }
+        for ((count, i) in byOwned.withIndex()) {
+            val level = if (count + 1 < byOwned.size) owned[byOwned[count + 1]] else Double.MAX_VALUE
+            val raised = byOwned.subList(0, count + 1)
+            val each = minOf(level - owned[i] - rented[i], left / raised.size)
+            raised.forEach { rented[it] += each }
+            left -= each * raised.size
+            if (left <= 0) return
+        }
+    }
+
+    private fun shortfall(job: Job, nowMicros: Long): Double {
+        val last = plans[job.id] ?: return 0.0
+        return (last.dueBy(nowMicros) - (job.doneCount - last.doneThen)).coerceAtLeast(0.0)
+    }
+
+    /** What is to be rented now: planned rented room, and backups as far as owned room was not granted yet. */
+    fun wishes(jobs: List<Job>, isOwned: (Machine) -> Boolean, nowMicros: Long): List<RentalWish> = jobs.mapNotNull { job ->
+        val plan = plans[job.id] ?: return@mapNotNull null
+        val granted = job.placements.count { !it.isAssigned && isOwned(it.machine) }
+        val backup = minOf(plan.backup, (plan.ownedSlots(nowMicros) - granted).coerceAtLeast(0.0))
+        val running = job.placements.count { !it.isAssigned && !isOwned(it.machine) }
+        // What the plan rents for runs out as tasks are done; a task running on a rented machine keeps its place.
+        val slots = maxOf(plan.rentedSlots + backup, running.toDouble())
+        val remaining = (job.spec.pieces - job.doneCount - granted).toDouble()
+        RentalWish(job, minOf(slots, remaining).coerceAtLeast(0.0))
+    }
+
+    private companion object {
+        const val INTERVALS = 10
+        const val IMPLIED_RUNS = 3
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/planning/TaskTimes.kt
@@ -0,0 +1,34 @@
+package linemast.planning
+
+import linemast.jobs.JobSpec
+import linemast.workers.Job
+
+/**
+ * Estimates of run times: the owners' guesses, corrected by what finished tasks took.
+ *
+ * Guesses of a lane are often wrong in the same direction, so each lane has a running ratio of measured to
+ * guessed; a job's own finished tasks say more still once there are a few.
+ */
+class TaskTimes {
+    private val ratios = HashMap<String, Double>()
+
+    fun finished(spec: JobSpec, measuredMicros: Long) {
+        if (spec.guessMicros <= 0) return
+        val ratio = (measuredMicros.toDouble() / spec.guessMicros).coerceIn(LEAST_RATIO, MOST_RATIO)
+        val weight = SMOOTHING / minOf(spec.pieces, MANY_PIECES)
+        ratios.merge(spec.lane, ratio) { old, new -> old + (new - old) * weight }
+    }
+
+    fun estimateMicros(job: Job): Long {
+        if (job.measuredTasks >= ENOUGH_TASKS) return job.measuredMicros / job.measuredTasks
+        return (job.spec.guessMicros * (ratios[job.spec.lane] ?: 1.0)).toLong().coerceAtLeast(1)
+    }
+
+    private companion object {
+        const val SMOOTHING = 0.3
+        const val MANY_PIECES = 20
+        const val ENOUGH_TASKS = 4
+        const val LEAST_RATIO = 0.2
+        const val MOST_RATIO = 5.0
+    }
+}
--- a/src/main/kotlin/linemast/workers/FleetRecord.kt
+++ b/src/main/kotlin/linemast/workers/FleetRecord.kt
@@ -11,9 +11,11 @@
  */
 class FleetRecord {
     private val chunks = ArrayList<LinkedHashMap<String, Map<String, Any?>>>()
+    private val stamps = HashMap<String, Long>()
 
     fun read(items: List<Item>, types: Map<String, MachineType>): List<Machine> {
         chunks.clear()
+        stamps.clear()
         val machines = ArrayList<Machine>()
         for (item in items.sortedBy { it.key.removePrefix(PREFIX).toInt() }) {
             val chunk = LinkedHashMap<String, Map<String, Any?>>()
@@ -25,6 +27,7 @@
                 machines += machine
             }
             chunks += chunk
+            stamps[item.key] = item.stamp
         }
         return machines
     }
@@ -51,6 +54,13 @@
         return changed.associate { value(it) }
     }
 
+    /** The revision a write of the chunk has to build on, so that a late write cannot undo a newer one. */
+    fun stampOf(key: String): Long = stamps[key] ?: 0L
+
+    fun written(key: String, stamp: Long) {
+        stamps[key] = stamp
+    }
+
     private fun value(at: Int) = "$PREFIX$at" to mapOf("rigs" to chunks[at].values.toList())
 
     private fun entry(machine: Machine) = mapOf(
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -69,7 +69,6 @@
 
     /** No further starts: being returned, recalled, or found faulty. */
     var draining = false
-    var returning = false
 
     /** Jobs that failed here since a task was last completed here. */
     val failedJobs = HashSet<String>()
