--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -80,13 +80,21 @@
             return
         }
         val missing = job.pendingCount
-        if (roomInTeam(job) < missing) return
+        if (roomInTeam(job) < missing) return held(job, "its team's limit")
         val machines = candidates(job, nowMicros).filter { "${it.name}#${job.gangAttempt}" !in job.clearedGang }
         val yards = if (job.spec.samePlace) machines.map { it.yard }.distinct().map(::setOf) else listOf(null)
         for (yard in yards) {
             if (placeWhole(job, machines.filter { yard == null || it.yard in yard }, missing)) return
         }
-        for (yard in yards) if (makeRoom(job, yard, missing, nowMicros)) return
+        for (yard in yards) if (makeRoom(job, yard, missing, nowMicros)) return held(job, "room being made")
+        held(job, "no room")
+    }
+
+    /** Logs once why a gang has to wait, each time the reason changes. */
+    private fun held(job: Job, reason: String) {
+        if (job.heldBy == reason) return
+        job.heldBy = reason
+        log.debug("{}: held back, {}", job.id, reason)
     }
 
     /** All missing tasks at once, or none. */
@@ -158,6 +166,8 @@
         .sortedWith(
             compareBy(
                 { it.reservedFor !== job },
+                { scarce.isScarceFor(it.type, job.spec) },
+                { !it.owned },
                 { it.type.vcpus + it.type.gpus * GPU_WEIGHT },
                 { job.spec.bundle !in it.bundles },
                 { it.freeVcpus },
--- a/src/main/kotlin/linemast/placement/ScarceTypes.kt
+++ b/src/main/kotlin/linemast/placement/ScarceTypes.kt
@@ -30,10 +30,14 @@
         }
     }
 
+    /** Whether other lanes need [type] more than [spec] does. */
+    fun isScarceFor(type: MachineType, spec: JobSpec): Boolean =
+        needs[spec.lane]?.typeNames?.contains(type.name) != true && needs.values.any { type.name in it.typeNames }
+
     /** Whether [machine] had better not take a task of [spec]. */
     fun keepFree(spec: JobSpec, machine: Machine, machines: Collection<Machine>): Boolean {
-        val others = needs.values.filter { it.spec.lane != spec.lane && machine.type.name in it.typeNames }
-        if (others.isEmpty() || needs[spec.lane]?.typeNames?.contains(machine.type.name) == true) return false
+        if (!isScarceFor(machine.type, spec)) return false
+        val others = needs.values.filter { machine.type.name in it.typeNames }
         // Work that could not be stopped for such a job must not get in its way at all.
         if (others.any { it.spec.urgency >= spec.urgency }) return true
         if (machine.placements.isNotEmpty()) return false
--- a/src/main/kotlin/linemast/workers/Job.kt
+++ b/src/main/kotlin/linemast/workers/Job.kt
@@ -46,6 +46,8 @@
 
     /** Whether [gangAttempt] was seen running: it cannot be completed by a replacement any more. */
     var gangRan = false
+    /** Why it was last held back, for the log. */
+    var heldBy: String? = null
     var failures = 0
     val failedOn = HashSet<String>()
     var backOffUntilMicros = 0L
