--- a/src/main/kotlin/linemast/app/Main.kt
+++ b/src/main/kotlin/linemast/app/Main.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.runBlocking
 import linemast.planning.Policy
+import linemast.settings.PolicyScript
+import linemast.settings.Settings
 import linemast.settings.SettingsException
 import linemast.settings.SettingsReader
 import picocli.CommandLine
@@ -43,7 +45,11 @@
             .description("The settings file (TOML).").build(),
     )
     spec.addOption(flag("--check", "Check the settings and exit."))
-    spec.addOption(flag("--rehearse", "Exercise the program for a class-data archive and exit.").also { })
+    spec.addOption(
+        OptionSpec.builder("--policy").paramLabel("FILE").type(Path::class.java)
+            .description("The operators' own settings (Lua); see docs/operations.md.").build(),
+    )
+    spec.addOption(flag("--rehearse", "Run the usual paths once on loopback and exit; the build makes its class-data archive so."))
     spec.addOption(OptionSpec.builder("--help", "-h").usageHelp(true).description("Show this help.").build())
     spec.addOption(OptionSpec.builder("--version").versionHelp(true).description("Show the version.").build())
     val line = CommandLine(spec)
@@ -67,8 +73,11 @@
         System.err.println("linemast: --config FILE is missing")
         return EXIT_USAGE
     }
-    val settings = try {
-        SettingsReader.read(file)
+    val settings: Settings
+    val policy: Policy
+    try {
+        settings = SettingsReader.read(file)
+        policy = parsed.matchedOptionValue<Path?>("--policy", null)?.let(PolicyScript::read) ?: Policy()
     } catch (e: SettingsException) {
         System.err.println("linemast: ${e.message}")
         return EXIT_SETTINGS
@@ -79,7 +88,7 @@
     }
     val main = singleThread("main")
     val selector = ActorSelectorManager(singleThread("selector"))
-    runBlocking(main) { Controller(settings, Policy(), selector).run() }
+    runBlocking(main) { Controller(settings, policy, selector).run() }
     return 0
 }
 
--- /dev/null
+++ b/src/main/kotlin/linemast/app/Node.kt
@@ -0,0 +1,152 @@
+package linemast.app
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import linemast.cloud.Cloud
+import linemast.cloud.CloudException
+import linemast.cloud.MachineType
+import linemast.jobs.JobDesk
+import linemast.leadership.Authority
+import linemast.leadership.Election
+import linemast.leadership.LeaderDuty
+import linemast.leadership.LeaderView
+import linemast.peers.PeerFrame
+import linemast.peers.PeerView
+import linemast.planning.Policy
+import linemast.settings.Settings
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.Store
+import linemast.state.StoreException
+import linemast.state.Write
+import linemast.wire.Cbor
+import linemast.wire.Clock
+import linemast.wire.HttpRequest
+import linemast.wire.HttpResponse
+import linemast.wire.MalformedException
+import linemast.workers.Report
+import org.slf4j.LoggerFactory
+
+/** A controller without its sockets: requests come through [route], frames of peers through [heard]. */
+class Node(
+    private val settings: Settings,
+    private val policy: Policy,
+    private val store: Store,
+    private val cloud: Cloud,
+    private val clock: Clock,
+    private val wallMicros: () -> Long,
+    private val scope: CoroutineScope,
+) {
+    private val log = LoggerFactory.getLogger(Node::class.java)
+    private val view = LeaderView()
+    private val peers = PeerView(clock)
+    private val graceMicros = Authority.graceMicros(settings.workers.leaseMicros, settings.workers.cancelMicros)
+    private var types: List<MachineType>? = null
+    private var duty: LeaderDuty? = null
+    private var dutyScope: CoroutineScope? = null
+    private val desk = JobDesk(
+        store = store,
+        scope = scope,
+        teams = settings.teams.associateBy { it.name },
+        types = { types },
+        progress = { id -> duty?.progressOf(id) ?: peers.progressOf(id) },
+        wallMicros = wallMicros,
+    )
+
+    fun start() {
+        scope.launch { learnTypes() }
+        val election = Election(
+            store, clock, settings.nodeName, policy.leaderHoldMicros, graceMicros, view,
+            onElected = ::startDuty,
+            onLost = ::stopDuty,
+        )
+        scope.launch { election.run() }
+    }
+
+    private fun startDuty(authority: Authority) {
+        val dutyScope = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
+        val next = LeaderDuty(settings, policy, store, cloud, clock, authority, graceMicros, dutyScope, wallMicros) { types }
+        this.dutyScope = dutyScope
+        duty = next
+        dutyScope.launch { next.run() }
+    }
+
+    private fun stopDuty() {
+        duty = null
+        dutyScope?.cancel()
+        dutyScope = null
+    }
+
+    fun frame(): PeerFrame {
+        val leading = duty
+        return PeerFrame(settings.nodeName, view.highestHelm, leading != null, leading?.progress() ?: emptyMap())
+    }
+
+    fun heard(frame: PeerFrame) {
+        view.heardOf(frame.helm)
+        if (frame.leads && frame.helm >= view.highestHelm && view.own == null) view.leaderName = frame.node
+        peers.heard(frame)
+    }
+
+    suspend fun route(request: HttpRequest): HttpResponse = when (request.path) {
+        "/healthz" -> if (request.method == "GET") HttpResponse(if (types != null) 200 else 503) else HttpResponse(404)
+        "/agent/beat" -> if (request.method == "POST") beat(request) else HttpResponse(404)
+        else -> desk.handle(request) ?: HttpResponse(404)
+    }
+
+    private suspend fun beat(request: HttpRequest): HttpResponse {
+        val report = Report.read(Cbor.decodeMap(request.body))
+        view.heardOf(report.helm)
+        val authority = view.own
+        val orders = if (authority == null) null else duty?.answer(report)
+        if (authority == null || orders == null) return elsewhere()
+        val body = mapOf("helm" to authority.helm, "orders" to orders.map { it.toMap() })
+        return HttpResponse(200, Cbor.encode(body), stillValid = {
+            val now = clock.nowMicros()
+            if (orders.isEmpty()) authority.mayAnswer(now) else authority.mayOrder(now)
+        })
+    }
+
+    private fun elsewhere(): HttpResponse {
+        val leader = view.leaderName
+        return if (leader == null || leader == settings.nodeName) {
+            HttpResponse(421)
+        } else {
+            HttpResponse.of(421, "bridge" to leader)
+        }
+    }
+
+    /** The machine types are kept in the store, so that a restart can judge jobs while the cloud is away. */
+    private suspend fun learnTypes() {
+        while (types == null) {
+            try {
+                types = storedTypes() ?: firstTypes()
+            } catch (e: StoreException) {
+                log.debug("machine types: {}", e.message)
+            } catch (e: CloudException) {
+                log.info("machine types: {}", e.message)
+            } catch (e: MalformedException) {
+                log.error("machine types: {}", e.message)
+            }
+            if (types == null) delay(RETRY_MILLIS)
+        }
+        log.info("machine types: {}", types?.map { it.name })
+    }
+
+    private suspend fun storedTypes(): List<MachineType>? = store.get(MachineType.KEY)?.let { MachineType.readAll(it.value) }
+
+    private suspend fun firstTypes(): List<MachineType>? {
+        val fresh = cloud.types()
+        val record = Write.Put(MachineType.KEY, MachineType.toMap(fresh))
+        val result = store.commit(listOf(Condition(MachineType.KEY, 0L)), listOf(record))
+        return if (result is CommitResult.Applied) fresh else null
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 500L
+    }
+}
--- a/src/main/kotlin/linemast/jobs/JobSpec.kt
+++ b/src/main/kotlin/linemast/jobs/JobSpec.kt
@@ -5,6 +5,9 @@
 enum class Shape(val wire: String) {
     SWEEP("sweep"),
     GANG("gang"),
+
+    /** Independent tasks that run until their user cancels the job. Not on the protocol's page, but asked for in practice. */
+    STANDING("standing"),
     ;
 
     companion object {
@@ -86,6 +89,7 @@
     companion object {
         private const val MAX_PIECES = 100_000L
         private const val MAX_TEXT = 200
+        private const val FOR_EVER_MICROS = 30L * 24 * 3_600 * 1_000_000
         private const val MAX_AMOUNT = 1e6
         private const val MAX_SECONDS = 1e8
         private val ID = Regex("req-[0-9]{1,18}")
@@ -102,11 +106,12 @@
             val vcpus = amount(fields, "vcpus")
             val gpus = amount(fields, "gpus")
             if (vcpus == 0.0 && gpus == 0.0) fields.fail("vcpus", "must be more than 0")
+            val shape = Shape.of(fields.text("shape")) ?: fields.fail("shape", "is unknown")
             return JobSpec(
                 id = id,
                 lane = shortText(fields, "lane"),
                 crew = shortText(fields, "crew"),
-                shape = Shape.of(fields.text("shape")) ?: fields.fail("shape", "is unknown"),
+                shape = shape,
                 urgency = Urgency.of(fields.text("urgency")) ?: fields.fail("urgency", "is unknown"),
                 pieces = pieces.toInt(),
                 vcpus = vcpus,
@@ -119,7 +124,7 @@
                 samePlace = fields.flag("same_place"),
                 apart = fields.flag("apart"),
                 loaners = fields.flag("loaners"),
-                guessMicros = duration(fields, "guess_s"),
+                guessMicros = if (shape == Shape.STANDING && !fields.has("guess_s")) FOR_EVER_MICROS else duration(fields, "guess_s"),
                 markEveryMicros = duration(fields, "mark_every_s"),
                 markMicros = duration(fields, "mark_s"),
                 dueMicros = if (fields.has("due_s")) duration(fields, "due_s") else null,
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -72,6 +72,7 @@
     private val fleet = Fleet(settings, policy, authority.helm)
     private val steward = Steward(cluster, fleet, planner, policy)
     private val fleetRecord = FleetRecord()
+    private val electedMicros = clock.nowMicros()
     private var loaded = false
     private var storingMachines = false
     private val fleetWrites = Mutex()
@@ -148,7 +149,9 @@
             stored.value.textsOrNull("rigs") ?: emptyList()
         } else {
             val found = cloud.machines().filter { !it.loaners && it.status != "failed" }.map { it.name }
-            if (found.isEmpty()) return
+            // The list lags: only one that stays empty for long enough says that there is no standing fleet.
+            val stillLagging = clock.nowMicros() < electedMicros + LAGS_UNTIL_EMPTY * settings.cloudLimits.listLagMicros
+            if (found.isEmpty() && stillLagging) return
             val write = Write.Put(STANDING_KEY, mapOf("rigs" to found))
             if (store.commit(listOf(fence, Condition(STANDING_KEY, 0L)), listOf(write)) !is CommitResult.Applied) return
             log.info("standing fleet: {} machines", found.size)
@@ -464,6 +467,7 @@
         const val RETRY_MILLIS = 250L
         const val LIST_MILLIS = 3_000L
         const val RENT_TRIES = 5
+        const val LAGS_UNTIL_EMPTY = 2
         const val PLANS_SHOWN = 40
         const val STANDING_KEY = "standing"
         const val PLAN_KEY = "plan"
--- /dev/null
+++ b/src/main/kotlin/linemast/peers/PeerFrame.kt
@@ -0,0 +1,71 @@
+package linemast.peers
+
+import linemast.jobs.Progress
+import linemast.wire.MalformedException
+import okio.Buffer
+import java.io.EOFException
+
+/**
+ * What a controller tells the others once a second.
+ *
+ * Nothing here decides anything on its own: a helm only ever ends a lead that is over already, and progress is
+ * for display.
+ */
+class PeerFrame(
+    val node: String,
+    /** Highest helm the sender has heard of. */
+    val helm: Long,
+    /** Whether the sender leads with that helm. */
+    val leads: Boolean,
+    val progress: Map<String, Progress>,
+) {
+    fun encode(): Buffer {
+        val out = Buffer()
+        out.writeByte(VERSION)
+        writeText(out, node)
+        out.writeLong(helm)
+        out.writeByte(if (leads) 1 else 0)
+        val shown = progress.entries.take(MAX_JOBS)
+        out.writeShort(shown.size)
+        for ((id, counts) in shown) {
+            writeText(out, id)
+            out.writeInt(counts.done)
+            out.writeInt(counts.running)
+        }
+        return out
+    }
+
+    companion object {
+        const val MAX_BYTES = 64 * 1024
+        private const val VERSION = 1
+        private const val MAX_JOBS = 1_000
+        private const val MAX_TEXT = 200
+
+        fun decode(from: Buffer): PeerFrame = try {
+            if (from.readByte().toInt() != VERSION) throw MalformedException("peer frame: unknown version")
+            val node = readText(from)
+            val helm = from.readLong()
+            val leads = from.readByte().toInt() == 1
+            val count = from.readShort().toInt()
+            if (count !in 0..MAX_JOBS) throw MalformedException("peer frame: too many jobs")
+            val progress = LinkedHashMap<String, Progress>(count * 2)
+            repeat(count) { progress[readText(from)] = Progress(from.readInt(), from.readInt()) }
+            if (!from.exhausted()) throw MalformedException("peer frame: too long")
+            PeerFrame(node, helm, leads, progress)
+        } catch (e: EOFException) {
+            throw MalformedException("peer frame: too short")
+        }
+
+        private fun writeText(out: Buffer, text: String) {
+            val bytes = text.encodeToByteArray()
+            out.writeShort(bytes.size)
+            out.write(bytes)
+        }
+
+        private fun readText(from: Buffer): String {
+            val length = from.readShort().toInt()
+            if (length !in 0..MAX_TEXT) throw MalformedException("peer frame: text too long")
+            return from.readUtf8(length.toLong())
+        }
+    }
+}
--- a/src/main/kotlin/linemast/wire/HttpServer.kt
+++ b/src/main/kotlin/linemast/wire/HttpServer.kt
@@ -101,7 +101,7 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: MalformedException) {
-            log.debug("{} {}: {}", request.method, request.path, e.message)
+            log.debug("{} {} is malformed: {}", request.method, request.path, e.message)
             HttpResponse(400)
         } catch (e: Exception) {
             log.error("{} {} failed", request.method, request.path, e)
