--- /dev/null
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -0,0 +1,170 @@
+package linemast.simulation
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import linemast.cloud.MachineType
+import linemast.settings.Settings
+import linemast.settings.SettingsReader
+import linemast.wire.Clock
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.time.Duration.Companion.minutes
+
+/** Three controllers under generated faults, in virtual time; the rules are checked after every step. */
+class FaultSimulationTest {
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `rules hold under generated faults and all accepted work ends`(seed: Int) {
+        val world = play(seed, controllersLeaseSeconds = LEASE_SECONDS)
+        println("seed $seed: ${world.starts} starts, ${world.completed.size} tasks done, ${world.jobs.size} jobs")
+        assertEquals(emptyList<String>(), world.broken)
+        val open = world.jobs.values.filter { it.told == null }.map { it.id }
+        assertEquals(emptyList<String>(), open)
+        assertTrue(world.completed.isNotEmpty())
+    }
+
+    /** Controllers that believe leases to be far shorter than they are must be caught, or the checks are blind. */
+    @Test
+    fun `a broken guard is noticed`() {
+        val seen = (1..4).flatMap { play(it, controllersLeaseSeconds = 0.5).broken }
+        println("with a broken guard: ${seen.size} broken rules, first ${seen.firstOrNull()}")
+        assertTrue(seen.any { "ran_twice" in it || "quota" in it }, "no broken rule was seen: $seen")
+    }
+
+    private fun play(seed: Int, controllersLeaseSeconds: Double): SimWorld {
+        lateinit var world: SimWorld
+        runTest(timeout = 5.minutes) {
+            val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
+            world = SimWorld(
+                backgroundScope, clock, seed, { settings(it, controllersLeaseSeconds) }, TYPES, (LEASE_SECONDS * 1e6).toLong(),
+            )
+            world.begin()
+            backgroundScope.launch { submissions(world) }
+            faults(world)
+            delay(CALM_MILLIS)
+        }
+        return world
+    }
+
+    private suspend fun submissions(world: SimWorld) {
+        repeat(JOBS) { number ->
+            val gang = world.random.nextInt(3) == 0
+            val job = SimJob(
+                id = "req-%06d".format(number),
+                crew = if (world.random.nextBoolean()) "north" else "south",
+                pieces = if (gang) 1 + world.random.nextInt(3) else 1 + world.random.nextInt(30),
+                vcpus = if (gang) 4.0 else 1.0,
+                gang = gang,
+                samePlace = world.random.nextInt(3) == 0,
+                apart = !gang && world.random.nextInt(4) == 0,
+                loaners = world.random.nextBoolean(),
+                runMicros = world.random.nextLong(2_000_000, 15_000_000),
+            )
+            world.user(job, if (world.random.nextInt(5) == 0) world.random.nextLong(20_000) else null)
+            delay(world.random.nextLong(1_000, 8_000))
+        }
+    }
+
+    private suspend fun TestScope.faults(world: SimWorld) {
+        world.networkLoss = 0.02
+        world.store.lostAnswers = 0.02
+        while (testScheduler.currentTime < FAULTS_MILLIS) {
+            delay(world.random.nextLong(2_000, 9_000))
+            fault(world, backgroundScope)
+        }
+        world.networkLoss = 0.0
+        world.store.lostAnswers = 0.0
+    }
+
+    private fun fault(world: SimWorld, scope: CoroutineScope) {
+        val random = world.random
+        val node = random.nextInt(3)
+        val machine = world.workers.values.random(random)
+        when (random.nextInt(9)) {
+            0, 1 -> scope.launch { restart(world, node, random.nextLong(100, 4_000)) }
+            2 -> repeat(3) { at -> scope.launch { restart(world, at, random.nextLong(500, 4_000)) } }
+            3 -> if (!world.store.outage) scope.launch {
+                world.store.startOutage()
+                delay(random.nextLong(2_000, 15_000))
+                world.store.endOutage()
+            }
+            4 -> scope.launch {
+                world.store.refused += "mast-$node"
+                delay(random.nextLong(3_000, 20_000))
+                world.store.refused -= "mast-$node"
+            }
+            5 -> scope.launch {
+                world.cutOff += node
+                delay(random.nextLong(3_000, 20_000))
+                world.cutOff -= node
+            }
+            6 -> machine.hungUntilMicros = world.clock.nowMicros() + random.nextLong(1_000_000, 20_000_000)
+            7 -> if (world.workers.size > 4) world.removeMachine(machine.name)
+            8 -> scope.launch {
+                machine.sick = true
+                delay(random.nextLong(5_000, 20_000))
+                machine.sick = false
+            }
+        }
+    }
+
+    private suspend fun restart(world: SimWorld, node: Int, afterMillis: Long) {
+        world.killNode(node)
+        delay(afterMillis)
+        world.startNode(node)
+    }
+
+    private fun settings(name: String, leaseSeconds: Double): Settings = SettingsReader.parse(
+        """
+        node_name = "$name"
+        domain = "a"
+        serve_on = "10.0.0.1:8080"
+        peer_listen = "10.0.0.1:8081"
+        [external]
+        cloud = "10.2.0.2:1"
+        state = "10.2.0.1:1"
+        [settings]
+        zones = ["a", "b"]
+        clock_off_ms = 0.0
+        teams = [
+          { name = "north", cpus = 16.0, cpus_max = 24.0, gpus = 0.0, gpus_max = 0.0 },
+          { name = "south", cpus = 8.0, cpus_max = 16.0, gpus = 0.0, gpus_max = 0.0 },
+        ]
+        [settings.workers]
+        report_s = 1.0
+        lease_s = $leaseSeconds
+        gang_wait_s = 10.0
+        gang_peer_s = 2.0
+        cancel_s = 30.0
+        [settings.state]
+        rps = 100.0
+        write_rps = 50.0
+        value_kb = 8.0
+        txn_ops = 16
+        [settings.cloud]
+        rps = 5.0
+        list_lag_s = 5.0
+        [settings.limits]
+        cpu_share = 0.1
+        mem_mb = 150.0
+        fd_limit = 500
+        """.trimIndent(),
+    )
+
+    private companion object {
+        const val LEASE_SECONDS = 8.0
+        const val JOBS = 30
+        const val FAULTS_MILLIS = 240_000L
+        const val CALM_MILLIS = 300_000L
+        val TYPES = listOf(
+            MachineType("small", 4.0, 0.0, 32.0, 10.0, 1.0, 0.4, 0.1, 10_000_000, listOf("a", "b")),
+            MachineType("large", 8.0, 0.0, 64.0, 10.0, 1.0, 0.8, 0.2, 10_000_000, listOf("a", "b")),
+        )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -0,0 +1,152 @@
+package linemast.simulation
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import linemast.state.Change
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.FollowResult
+import linemast.state.Item
+import linemast.state.Page
+import linemast.state.Priority
+import linemast.state.Store
+import linemast.state.StoreException
+import linemast.state.Write
+import linemast.wire.Cbor
+import linemast.wire.Clock
+import kotlin.random.Random
+
+/** Stand-in of the state service, with its holds, revisions and ways to fail. */
+class SimStore(private val scope: CoroutineScope, private val clock: Clock, private val random: Random) {
+    private class Entry(val value: ByteArray, val stamp: Long, val hold: Long?)
+
+    private class Hold(val lifeMicros: Long, var endsMicros: Long)
+
+    private val entries = sortedMapOf<String, Entry>()
+    private val holds = HashMap<Long, Hold>()
+    private val changes = ArrayList<Change>()
+    private var era = 1L
+    private var nextHold = 0L
+    var outage = false
+        private set
+    val refused = HashSet<String>()
+    var lostAnswers = 0.0
+
+    fun startOutage() {
+        outage = true
+    }
+
+    /** After an outage every hold again has its full time. */
+    fun endOutage() {
+        outage = false
+        holds.values.forEach { it.endsMicros = clock.nowMicros() + it.lifeMicros }
+    }
+
+    fun valueOf(key: String) = entries[key]?.let { Cbor.decodeMap(it.value) }
+
+    fun clientOf(node: String): Store = Client(node)
+
+    private fun expire() {
+        if (outage) return
+        val ended = holds.filterValues { it.endsMicros <= clock.nowMicros() }.keys
+        for (hold in ended) {
+            holds.remove(hold)
+            val keys = entries.filterValues { it.hold == hold }.keys.toList()
+            if (keys.isEmpty()) continue
+            era++
+            keys.forEach(::drop)
+        }
+    }
+
+    private fun drop(key: String) {
+        if (entries.remove(key) != null) changes += Change(key, null, era)
+    }
+
+    private fun apply(conditions: List<Condition>, writes: List<Write>): CommitResult {
+        expire()
+        if (writes.any { it is Write.Put && it.hold != null && it.hold !in holds }) return CommitResult.NoSuchHold
+        val failed = conditions.filter { (entries[it.key]?.stamp ?: 0L) != it.stamp }.map { it.key }
+        if (failed.isNotEmpty()) return CommitResult.Conflict(failed)
+        era++
+        for (write in writes) {
+            when (write) {
+                is Write.Drop -> drop(write.key)
+                is Write.Put -> {
+                    val bytes = Cbor.encode(write.value)
+                    entries[write.key] = Entry(bytes, era, write.hold)
+                    changes += Change(write.key, Cbor.decodeMap(bytes), era)
+                }
+            }
+        }
+        return CommitResult.Applied(era)
+    }
+
+    private inner class Client(private val node: String) : Store {
+        private suspend fun enter() {
+            delay(random.nextLong(1, 12))
+            if (outage || node in refused) throw StoreException("503", mayHaveRun = false)
+            expire()
+        }
+
+        override suspend fun get(key: String): Item? {
+            enter()
+            return entries[key]?.let { Item(key, Cbor.decodeMap(it.value), it.stamp) }
+        }
+
+        override suspend fun list(under: String, after: String?): Page {
+            enter()
+            val found = entries.filterKeys { it.startsWith(under) && (after == null || it > after) }
+            val items = found.entries.take(PAGE).map { Item(it.key, Cbor.decodeMap(it.value.value), it.value.stamp) }
+            return Page(items, found.size > PAGE, era)
+        }
+
+        override suspend fun commit(conditions: List<Condition>, writes: List<Write>, priority: Priority): CommitResult {
+            enter()
+            if (random.nextDouble() < lostAnswers) {
+                // Executed now or up to half a minute later; the caller never learns.
+                val late = if (random.nextBoolean()) 0L else random.nextLong(30_000)
+                scope.launch {
+                    delay(late)
+                    apply(conditions, writes)
+                }
+                delay(2_000)
+                throw StoreException("no answer", mayHaveRun = true)
+            }
+            val result = apply(conditions, writes)
+            delay(random.nextLong(1, 8))
+            return result
+        }
+
+        override suspend fun follow(under: String, afterEra: Long, waitMicros: Long): FollowResult {
+            enter()
+            val end = clock.nowMicros() + waitMicros
+            while (true) {
+                expire()
+                val news = changes.filter { it.stamp > afterEra && it.key.startsWith(under) }
+                if (!outage && node !in refused && (news.isNotEmpty() || clock.nowMicros() >= end)) {
+                    return FollowResult.News(era, news)
+                }
+                delay(FOLLOW_STEP_MILLIS)
+            }
+        }
+
+        override suspend fun openHold(lifeMicros: Long): Long {
+            enter()
+            holds[++nextHold] = Hold(lifeMicros, clock.nowMicros() + lifeMicros)
+            return nextHold
+        }
+
+        override suspend fun renewHold(hold: Long): Boolean {
+            enter()
+            val known = holds[hold] ?: return false
+            known.endsMicros = clock.nowMicros() + known.lifeMicros
+            return true
+        }
+    }
+
+    private companion object {
+        const val PAGE = 7
+        const val FOLLOW_STEP_MILLIS = 25L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -0,0 +1,200 @@
+package linemast.simulation
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import linemast.cloud.ListedMachine
+import linemast.cloud.MachineType
+import linemast.wire.Cbor
+import linemast.wire.Fields
+import linemast.wire.HttpRequest
+
+/** Stand-in of a worker: sessions, leases, tokens and tasks as the protocol's page has them. */
+class SimWorker(
+    private val world: SimWorld,
+    val name: String,
+    val type: MachineType,
+    val yard: String,
+    val loaners: Boolean,
+    private val leaseMicros: Long,
+) {
+    class Task(val job: String, val index: Int, val attempt: Long) {
+        var status = "fetching"
+        var cause: String? = null
+        var readyMicros = 0L
+        var endMicros = 0L
+    }
+
+    private val random get() = world.random
+    private val born = world.clock.nowMicros()
+    val tasks = LinkedHashMap<String, Task>()
+    var gone = false
+    var hungUntilMicros = 0L
+    var sick = false
+    private var watch = 1L
+    private var tick = 0L
+    private var helm = 0L
+    private var renewedMicros = world.clock.nowMicros()
+    private var node = random.nextInt(3)
+    private var reportSoon = true
+
+    private val hung: Boolean get() = world.clock.nowMicros() < hungUntilMicros
+
+    fun listed(now: Long) = ListedMachine(name, "10.9.0.1:9", type.name, yard, loaners, "running", now - born)
+
+    fun start() {
+        world.scope.launch { live() }
+        world.scope.launch { reports() }
+    }
+
+    private suspend fun live() {
+        while (!gone) {
+            delay(STEP_MILLIS)
+            if (!hung) step()
+        }
+    }
+
+    private fun step() {
+        val now = world.clock.nowMicros()
+        if (now - renewedMicros > leaseMicros) {
+            tasks.clear()
+            watch++
+            renewedMicros = now
+            reportSoon = true
+        }
+        for (task in tasks.values.toList()) advance(task, now)
+    }
+
+    private fun advance(task: Task, now: Long) {
+        val job = world.jobs.getValue(task.job)
+        when (task.status) {
+            "fetching" -> if (now >= task.readyMicros) {
+                reportSoon = true
+                when {
+                    "${task.job}/${task.index}" in world.completed -> end(task, "done")
+                    sick -> end(task, "error")
+                    job.gang -> task.status = "gathering"
+                    else -> run(task, now, job.runMicros)
+                }
+            }
+            "gathering" -> when {
+                world.gangGathers(task) -> run(task, now, job.runMicros)
+                now - task.readyMicros > GANG_WAIT_MICROS -> end(task, "alone")
+            }
+            "running" -> when {
+                job.gang && !world.gangWhole(task) -> end(task, if (world.gangDone(task)) "done" else "mates_gone")
+                now >= task.endMicros -> {
+                    world.completed += "${task.job}/${task.index}"
+                    end(task, "done")
+                }
+            }
+        }
+    }
+
+    private fun run(task: Task, now: Long, runMicros: Long) {
+        task.status = "running"
+        task.endMicros = now + runMicros
+        reportSoon = true
+    }
+
+    private fun end(task: Task, cause: String) {
+        task.status = "ended"
+        task.cause = cause
+        reportSoon = true
+    }
+
+    private suspend fun reports() {
+        while (!gone) {
+            val wait = if (reportSoon) 500L else random.nextLong(750, 1_250)
+            delay(wait)
+            if (hung || gone) continue
+            reportSoon = false
+            report()
+        }
+    }
+
+    private suspend fun report() {
+        val sent = world.clock.nowMicros()
+        val session = watch
+        val body = Cbor.encode(reportBody())
+        if (random.nextDouble() < world.networkLoss) {
+            // Held back by the network: delivered late or never, and nobody waits for the answer.
+            if (random.nextBoolean()) {
+                world.scope.launch {
+                    delay(random.nextLong(20_000))
+                    withTimeoutOrNull(4_000) { world.send(node, "POST", "/agent/beat", body) }
+                }
+            }
+            delay(4_000)
+            return next()
+        }
+        val reply = withTimeoutOrNull(4_000) { world.send(node, "POST", "/agent/beat", body) }
+        if (reply == null || random.nextDouble() < world.networkLoss) {
+            delay(1_000)
+            return next()
+        }
+        if (hung || gone) return
+        when (reply.status) {
+            200 -> if (watch == session) take(Cbor.decodeMap(reply.body), sent)
+            421 -> redirect(if (reply.body.isEmpty()) null else Cbor.decodeMap(reply.body).textOrNull("bridge"))
+            else -> {
+                delay(1_000)
+                next()
+            }
+        }
+    }
+
+    private suspend fun redirect(bridge: String?) {
+        val at = bridge?.removePrefix("mast-")?.toInt()
+        if (at == null || at == node) {
+            delay(1_000)
+            next()
+        } else {
+            node = at
+        }
+    }
+
+    private fun next() {
+        node = (node + 1) % 3
+    }
+
+    private fun take(reply: Fields, sent: Long) {
+        val token = reply.longOrNull("helm") ?: return
+        if (token < helm) return
+        if (token > helm) reportSoon = true
+        helm = token
+        renewedMicros = maxOf(renewedMicros, sent)
+        for (order in reply.children("orders")) execute(order)
+    }
+
+    private fun execute(order: Fields) {
+        val piece = order.text("piece")
+        val attempt = order.long("try")
+        val key = "$piece#$attempt"
+        val job = piece.substringBefore('/')
+        val index = piece.substringAfter('/').toInt()
+        when (order.text("verb")) {
+            "start" -> if (key !in tasks) {
+                val task = Task(job, index, attempt)
+                task.readyMicros = world.clock.nowMicros() + random.nextLong(200_000, 2_000_000)
+                world.checkStart(this, task)
+                tasks[key] = task
+            }
+            "halt" -> tasks[key]?.let { if (it.status != "ended") end(it, "halted") }
+            "clear" -> if (tasks[key]?.status == "ended") tasks.remove(key)
+        }
+    }
+
+    private fun reportBody(): Map<String, Any?> = mapOf(
+        "rig" to name, "addr" to "10.9.0.1:9", "build" to type.name, "yard" to yard, "loaners" to loaners,
+        "watch" to watch, "tick" to ++tick, "helm" to helm, "recall_s" to null,
+        "pieces" to tasks.values.map {
+            mapOf("piece" to "${it.job}/${it.index}", "try" to it.attempt, "status" to it.status, "cause" to it.cause)
+        },
+    )
+
+    private companion object {
+        const val STEP_MILLIS = 100L
+        const val GANG_WAIT_MICROS = 10_000_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -0,0 +1,219 @@
+package linemast.simulation
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import linemast.app.Node
+import linemast.cloud.MachineType
+import linemast.planning.Policy
+import linemast.settings.Settings
+import linemast.wire.Cbor
+import linemast.wire.Clock
+import linemast.wire.HttpRequest
+import linemast.wire.HttpResponse
+import kotlin.random.Random
+
+/** A job as the users of the simulation know it, with what they were told of it. */
+class SimJob(
+    val id: String,
+    val crew: String,
+    val pieces: Int,
+    val vcpus: Double,
+    val gang: Boolean,
+    val samePlace: Boolean,
+    val apart: Boolean,
+    val loaners: Boolean,
+    val runMicros: Long,
+) {
+    var accepted = false
+    var told: String? = null
+    var withdrawnMicros: Long? = null
+    var cancelAsked = false
+
+    fun body(): Map<String, Any?> = mapOf(
+        "name_id" to id, "lane" to if (gang) "gangs" else "sweeps", "crew" to crew, "shape" to if (gang) "gang" else "sweep",
+        "urgency" to if (gang) "normal" else "idle", "pieces" to pieces, "vcpus" to vcpus, "gpus" to 0.0, "memory_gb" to 1.0,
+        "bundle" to "img", "pull_gb" to 1.0, "same_place" to samePlace, "apart" to apart, "loaners" to loaners,
+        "guess_s" to runMicros / 1e6, "mark_every_s" to 0.0, "mark_s" to 0.0, "due_s" to 60.0,
+    )
+}
+
+/**
+ * Three controllers, their store and cloud, workers and users, all in virtual time; the rules of the
+ * protocol's page are checked at each start, each step and each answer.
+ */
+class SimWorld(
+    val scope: CoroutineScope,
+    val clock: Clock,
+    seed: Int,
+    private val settings: (String) -> Settings,
+    private val types: List<MachineType>,
+    private val workerLeaseMicros: Long,
+) {
+    val random = Random(seed)
+    val workers = LinkedHashMap<String, SimWorker>()
+    val jobs = LinkedHashMap<String, SimJob>()
+    val completed = HashSet<String>()
+    val broken = ArrayList<String>()
+    val store = SimStore(scope, clock, random)
+    val cutOff = HashSet<Int>()
+    var networkLoss = 0.0
+    var starts = 0
+        private set
+    private val cloud = SimCloud(this, types)
+    private val nodes = arrayOfNulls<Node>(3)
+    private val nodeScopes = arrayOfNulls<CoroutineScope>(3)
+    private var machineCount = 0
+    private val teams = settings("mast-0").teams.associateBy { it.name }
+    private val cancelMicros = settings("mast-0").workers.cancelMicros
+
+    fun begin() {
+        repeat(6) { addMachine(types[it % types.size], if (it % 2 == 0) "a" else "b", loaners = false) }
+        repeat(3) { startNode(it) }
+        scope.launch {
+            while (true) {
+                delay(500)
+                checkCancelled()
+            }
+        }
+    }
+
+    fun startNode(at: Int) {
+        if (nodes[at] != null) return
+        val nodeScope = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
+        val name = "mast-$at"
+        val node = Node(settings(name), Policy(), store.clientOf(name), cloud, clock, clock::nowMicros, nodeScope)
+        nodeScopes[at] = nodeScope
+        nodes[at] = node
+        node.start()
+    }
+
+    fun killNode(at: Int) {
+        nodeScopes[at]?.cancel()
+        nodes[at] = null
+    }
+
+    fun addMachine(type: MachineType, yard: String, loaners: Boolean): SimWorker {
+        val worker = SimWorker(this, "host-%06d".format(++machineCount), type, yard, loaners, workerLeaseMicros)
+        workers[worker.name] = worker
+        worker.start()
+        return worker
+    }
+
+    fun removeMachine(name: String) {
+        workers.remove(name)?.let {
+            it.gone = true
+            it.tasks.clear()
+        }
+    }
+
+    suspend fun send(at: Int, method: String, path: String, body: ByteArray): HttpResponse? {
+        delay(random.nextLong(1, 10))
+        if (at in cutOff) {
+            delay(4_000)
+            return null
+        }
+        val node = nodes[at] ?: return null
+        val response = node.route(HttpRequest(method, path, "", body))
+        if (nodes[at] !== node) return null
+        return if (response.stillValid()) response else HttpResponse.unavailable()
+    }
+
+    private fun liveTasks(): Sequence<Pair<SimWorker, SimWorker.Task>> =
+        workers.values.asSequence().flatMap { worker -> worker.tasks.values.filter { it.status != "ended" }.map { worker to it } }
+
+    fun gangGathers(task: SimWorker.Task): Boolean {
+        val mates = liveTasks().map { it.second }.filter { it.job == task.job && it.attempt == task.attempt }
+        return mates.filter { it.status != "fetching" }.map { it.index }.distinct().count() == jobs.getValue(task.job).pieces
+    }
+
+    fun gangWhole(task: SimWorker.Task): Boolean =
+        liveTasks().map { it.second }.filter { it.job == task.job && it.attempt == task.attempt }
+            .map { it.index }.distinct().count() == jobs.getValue(task.job).pieces
+
+    fun gangDone(task: SimWorker.Task): Boolean =
+        (0 until jobs.getValue(task.job).pieces).any { "${task.job}/$it" in completed }.also { done ->
+            if (done) repeat(jobs.getValue(task.job).pieces) { completed += "${task.job}/$it" }
+        }
+
+    fun checkStart(worker: SimWorker, task: SimWorker.Task) {
+        starts++
+        val job = jobs.getValue(task.job)
+        val others = liveTasks().filter { it.second.job == task.job }.toList()
+        if (others.any { (other, its) -> its.index == task.index && (other !== worker || its.attempt != task.attempt) }) {
+            fail("ran_twice: ${task.job}/${task.index} on ${worker.name}")
+        }
+        val used = liveTasks().filter { jobs.getValue(it.second.job).crew == job.crew }.sumOf { jobs.getValue(it.second.job).vcpus }
+        if (used + job.vcpus > teams.getValue(job.crew).cpusMax + 1e-6) fail("quota: ${job.crew} uses ${used + job.vcpus}")
+        if (worker.loaners && !job.loaners) fail("wrong_place: ${job.id} on a spot machine")
+        if (job.samePlace && others.any { it.first.yard != worker.yard }) fail("wrong_place: ${job.id} in two zones")
+        val here = others.count { it.first.yard == worker.yard } + 1
+        if (job.apart && here > (job.pieces + 1) / 2) fail("wrong_place: $here tasks of ${job.id} in ${worker.yard}")
+        job.withdrawnMicros?.let { if (clock.nowMicros() - it > cancelMicros) fail("ran_cancelled: ${job.id} started") }
+    }
+
+    private fun checkCancelled() {
+        for ((worker, task) in liveTasks()) {
+            val told = jobs.getValue(task.job).withdrawnMicros ?: continue
+            if (clock.nowMicros() - told > cancelMicros && clock.nowMicros() >= worker.hungUntilMicros) {
+                fail("ran_cancelled: ${task.job}/${task.index} still on ${worker.name}")
+            }
+        }
+    }
+
+    private fun fail(what: String) {
+        broken += "${clock.nowMicros() / 1_000} ms: $what"
+    }
+
+    /** A user: submits until accepted, then polls; may cancel at some time. */
+    fun user(job: SimJob, cancelAfterMillis: Long?) {
+        jobs[job.id] = job
+        scope.launch {
+            while (!job.accepted) {
+                val status = ask("POST", "/v1/jobs", Cbor.encode(job.body()))?.status
+                if (status == 200 || status == 201) job.accepted = true
+                if (status == 400 || status == 422) fail("forgotten: ${job.id} answered $status")
+                delay(1_000)
+            }
+            while (true) {
+                delay(random.nextLong(2_000, 6_000))
+                poll(job)
+            }
+        }
+        if (cancelAfterMillis == null) return
+        scope.launch {
+            delay(cancelAfterMillis)
+            while (!job.accepted) delay(500)
+            job.cancelAsked = true
+            while (job.told == null) {
+                ask("POST", "/v1/jobs/${job.id}/cancel", ByteArray(0))?.let { hear(job, it) }
+                delay(1_000)
+            }
+        }
+    }
+
+    private suspend fun poll(job: SimJob) {
+        val reply = ask("GET", "/v1/jobs/${job.id}", ByteArray(0)) ?: return
+        if (reply.status == 404) fail("forgotten: ${job.id} is unknown")
+        hear(job, reply)
+    }
+
+    private fun hear(job: SimJob, reply: HttpResponse) {
+        if (reply.status != 200) return
+        val status = Cbor.decodeMap(reply.body).text("status")
+        val last = job.told
+        if (last != null && status != last) fail("went_back: ${job.id} was $last, is $status")
+        if (status != "done" && status != "withdrawn") return
+        if (status == "withdrawn" && !job.cancelAsked) fail("went_back: ${job.id} cancelled by nobody")
+        if (status == "done" && (0 until job.pieces).any { "${job.id}/$it" !in completed }) fail("not_done: ${job.id}")
+        if (status == "withdrawn" && job.withdrawnMicros == null) job.withdrawnMicros = clock.nowMicros()
+        job.told = status
+    }
+
+    private suspend fun ask(method: String, path: String, body: ByteArray): HttpResponse? =
+        withTimeoutOrNull(5_000) { send(random.nextInt(3), method, path, body) }
+}
