--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -68,7 +68,7 @@
     private val events = Channel<() -> Unit>(EVENTS)
     private val times = TaskTimes()
     private val planner = Planner(settings, policy, times)
-    private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner::dueWallMicros)
+    private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner, wallMicros)
     private val fleet = Fleet(settings, policy, authority.helm)
     private val steward = Steward(cluster, fleet, planner, policy)
     private val fleetRecord = FleetRecord()
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -4,6 +4,7 @@
 import linemast.jobs.DoneSet
 import linemast.jobs.OpenRecord
 import linemast.leadership.Authority
+import linemast.planning.Planner
 import linemast.planning.TaskTimes
 import linemast.settings.Settings
 import linemast.workers.Job
@@ -30,8 +31,8 @@
     private val graceMicros: Long,
     private val effects: Effects,
     private val times: TaskTimes,
-    /** By when a job should be complete, on the time of day. */
-    val dueWallMicros: (Job) -> Long,
+    val planner: Planner,
+    val wallMicros: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger(Cluster::class.java)
     val jobs = LinkedHashMap<String, Job>()
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -1,5 +1,6 @@
 package linemast.placement
 
+import linemast.planning.Planner
 import linemast.settings.Settings
 import linemast.workers.Job
 import linemast.workers.Machine
@@ -28,7 +29,7 @@
             if (nowMicros >= machine.reservedUntilMicros) machine.reservedFor = null
         }
         cluster.dirty = false
-        val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, cluster.dueWallMicros)
+        val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, cluster.planner, cluster.wallMicros())
         scarce.learn(jobs.map { it.job.spec }, cluster.types.values, nowMicros)
         val ready = jobs.map { it.job }.filter { it.pendingCount > 0 && isReady(it, nowMicros) }
         // First what is booked on owned machines, then whatever is left over.
@@ -210,7 +211,7 @@
 object JobOrder {
     class Ranked(val job: Job, val guaranteed: Boolean)
 
-    fun sorted(jobs: Collection<Job>, usage: TeamUsage, dueWallMicros: (Job) -> Long): List<Ranked> {
+    fun sorted(jobs: Collection<Job>, usage: TeamUsage, planner: Planner, wallMicros: Long): List<Ranked> {
         val claimed = HashMap<String, Double>()
         return jobs.filter { !it.withdrawn && !it.finished }
             .sortedBy { it.acceptedWallMicros }
@@ -223,7 +224,8 @@
                     { !(it.job.spec.isGang && it.job.placements.isNotEmpty()) },
                     { !it.guaranteed },
                     { it.job.spec.urgency.ordinal },
-                    { dueWallMicros(it.job) },
+                    { planner.aims.missed(it.job, wallMicros) },
+                    { planner.dueWallMicros(it.job) },
                 ),
             )
     }
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -30,7 +30,7 @@
 
     fun step(wallMicros: Long, nowMicros: Long): CloudActions {
         if (fleet.standing == null || !cluster.settled) return NOTHING
-        val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, planner::dueWallMicros).map { it.job }
+        val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, planner, wallMicros).map { it.job }
         val fresh = jobs.any { it.id !in known }
         val whole = plannedMicros == Long.MIN_VALUE || nowMicros - plannedMicros >= policy.longIntervalMicros
         if (fresh || whole) plan(jobs, whole, wallMicros, nowMicros)
