--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -35,6 +35,48 @@
         // First what is booked on owned machines, then whatever is left over.
         for (job in ready) if (job.spec.isGang) placeGang(job, nowMicros) else placeSweep(job, cluster.bookings(job), nowMicros)
         for (job in ready) if (!job.spec.isGang && job.pendingCount > 0) placeSweep(job, Int.MAX_VALUE, nowMicros)
+        for (ranked in jobs) {
+            val job = ranked.job
+            if (ranked.guaranteed && !job.spec.isGang && job.pendingCount > 0 && startable(job, nowMicros)) {
+                giveGuarantee(job, jobs, nowMicros)
+            }
+        }
+    }
+
+    /**
+     * Stops what other teams run beyond their guarantees, and less urgent work, for a job within its own.
+     *
+     * Nobody is pushed below a guarantee, and work that is itself within one is left alone.
+     */
+    private fun giveGuarantee(job: Job, ranked: List<JobOrder.Ranked>, nowMicros: Long) {
+        val spec = job.spec
+        val onTheWay = cluster.machines.values.sumOf { machine -> machine.placements.values.count { it.haltedFor === job } }
+        var missing = minOf(job.pendingCount, roomInTeam(job)) - onTheWay
+        if (missing <= 0) return
+        val safe = ranked.filter { it.guaranteed }.mapTo(HashSet()) { it.job }
+        val beyond = HashMap<String, Double>()
+        val victims = usable(job, nowMicros)
+            .filter { it.reservedFor == null && !scarce.keepFree(spec, it, cluster.machines.values) }
+            .flatMap { it.placements.values }
+            .filter { it.haltReason == null && !it.isAssigned && it.job !in safe && it.job?.spec?.isGang == false }
+            .sortedBy { victimRank(it, nowMicros) }
+        for (victim in victims) {
+            if (missing <= 0) return
+            val other = victim.job?.spec ?: continue
+            if (other.crew == spec.crew || other.vcpus < spec.vcpus) continue
+            val excess = beyond.getOrPut(other.crew) { cluster.usage.beyondGuarantee(other.crew) }
+            if (excess < other.vcpus && other.urgency <= spec.urgency) continue
+            beyond[other.crew] = excess - other.vcpus
+            halt(victim, "guarantee of ${spec.crew}")
+            victim.haltedFor = job
+            missing--
+        }
+    }
+
+    /** The youngest first, since they lose least; but those whose start would not count yet come last. */
+    private fun victimRank(placement: Placement, nowMicros: Long): Long {
+        val age = nowMicros - placement.sentMicros
+        return if (age < COUNTED_START_MICROS) age + Int.MAX_VALUE * 1_000L else age
     }
 
     private fun isReady(job: Job, nowMicros: Long): Boolean {
@@ -184,6 +226,7 @@
     private companion object {
         const val REPORT_SLACK_MICROS = 1_500_000L
         const val RESERVATION_MICROS = 15_000_000L
+        const val COUNTED_START_MICROS = 30_000_000L
         const val GPU_WEIGHT = 16.0
         const val EPSILON = 1e-6
     }
--- a/src/main/kotlin/linemast/wire/HttpServer.kt
+++ b/src/main/kotlin/linemast/wire/HttpServer.kt
@@ -32,11 +32,12 @@
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
     private var open = 0
 
-    suspend fun serve(scope: CoroutineScope) {
+    suspend fun serve(scope: CoroutineScope, onListening: () -> Unit = {}) {
         val listener = aSocket(selector).tcp().bind(address.host, address.port) {
             reuseAddress = true
             backlogSize = BACKLOG
         }
+        onListening()
         listener.use {
             while (scope.isActive) {
                 val socket = listener.accept()
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -30,6 +30,9 @@
     var haltReason: String? = null
     var haltWindDownMicros = 0L
 
+    /** The job it makes room for. */
+    var haltedFor: Job? = null
+
     val isAssigned: Boolean get() = phase == Phase.ASSIGNED
     val isRunning: Boolean get() = phase == Phase.RUNNING
 }
--- /dev/null
+++ b/src/test/kotlin/linemast/jobs/JobFormatsTest.kt
@@ -0,0 +1,98 @@
+package linemast.jobs
+
+import linemast.peers.PeerFrame
+import linemast.wire.Cbor
+import linemast.wire.Fields
+import linemast.wire.MalformedException
+import okio.Buffer
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.BitSet
+import kotlin.random.Random
+
+class JobFormatsTest {
+    private val seed = 99
+
+    @Test
+    fun `generated jobs survive the store`() {
+        println("seed $seed")
+        val random = Random(seed)
+        repeat(300) {
+            val record = OpenRecord(JobSpec.read(Fields(job(random))), random.nextLong(1L shl 50), random.nextBoolean(), random.nextBoolean())
+            val again = OpenRecord.read(Cbor.decodeMap(Cbor.encode(record.toMap())))
+            assertEquals(record.toMap(), again.toMap())
+        }
+    }
+
+    @Test
+    fun `a job with one field spoilt is refused`() {
+        val random = Random(seed)
+        val spoilt = listOf<Pair<String, Any?>>(
+            "name_id" to "req-x", "name_id" to "../req-1", "name_id" to null, "shape" to "ring", "urgency" to "soon", "pieces" to 0,
+            "pieces" to 100_001, "pieces" to 1.5, "vcpus" to -1.0, "vcpus" to "8", "vcpus" to Double.NaN, "memory_gb" to null,
+            "lane" to "", "crew" to 7, "same_place" to "yes", "builds" to emptyList<String>(), "builds" to listOf(1),
+            "guess_s" to Double.POSITIVE_INFINITY, "due_s" to -1.0, "mark_s" to null, "loaners" to 1,
+        )
+        for ((field, value) in spoilt) {
+            assertThrows(MalformedException::class.java, { JobSpec.read(Fields(job(random) + (field to value))) }, "$field = $value")
+        }
+    }
+
+    @Test
+    fun `done sets of any size come back and each part fits the smallest value`() {
+        val random = Random(seed)
+        for (pieces in listOf(1, 63, 8_192, 8_193, 100_000)) {
+            val done = BitSet()
+            repeat(pieces / 2 + 1) { done.set(random.nextInt(pieces)) }
+            val again = BitSet()
+            for (part in 0 until DoneSet.parts(pieces)) {
+                val text = DoneSet.encodePart(done, part)
+                assertTrue(text.length < 4_096, "part of ${text.length} characters")
+                DoneSet.decodePart(text, part, again)
+            }
+            assertEquals(done, again)
+        }
+        assertThrows(MalformedException::class.java) { DoneSet.decodePart("*", 0, BitSet()) }
+    }
+
+    @Test
+    fun `peer frames come back and truncated or lengthened ones are refused`() {
+        val random = Random(seed)
+        repeat(50) {
+            val progress = (0 until random.nextInt(30)).associate { "req-$it" to Progress(random.nextInt(100), random.nextInt(100)) }
+            val bytes = PeerFrame("mast-1", random.nextLong(1000), random.nextBoolean(), progress).encode().readByteArray()
+            val again = PeerFrame.decode(Buffer().write(bytes))
+            assertEquals(progress.mapValues { it.value.done to it.value.running }, again.progress.mapValues { it.value.done to it.value.running })
+            for (length in bytes.indices) {
+                assertThrows(MalformedException::class.java) { PeerFrame.decode(Buffer().write(bytes, 0, length)) }
+            }
+            assertThrows(MalformedException::class.java) { PeerFrame.decode(Buffer().write(bytes).writeByte(0)) }
+        }
+    }
+
+    private fun job(random: Random): Map<String, Any?> = mapOf(
+        "name_id" to "req-%06d".format(random.nextInt(1_000_000)),
+        "lane" to "lane-${random.nextInt(5)}",
+        "crew" to "crew",
+        "shape" to Shape.entries.random(random).wire,
+        "urgency" to Urgency.entries.random(random).wire,
+        "pieces" to random.nextInt(1, 100_001),
+        "vcpus" to random.nextInt(1, 64).toDouble(),
+        "gpus" to random.nextInt(8).toDouble(),
+        "memory_gb" to random.nextInt(512).toDouble(),
+        "bundle" to "img-${random.nextInt(9)}",
+        "pull_gb" to random.nextInt(90) / 10.0,
+        "builds" to if (random.nextBoolean()) null else listOf("a", "b"),
+        "yard" to if (random.nextBoolean()) null else "zone",
+        "same_place" to random.nextBoolean(),
+        "apart" to random.nextBoolean(),
+        "loaners" to random.nextBoolean(),
+        "guess_s" to random.nextInt(1, 1000).toDouble(),
+        "mark_every_s" to random.nextInt(60).toDouble(),
+        "mark_s" to random.nextInt(9).toDouble(),
+        "due_s" to if (random.nextBoolean()) null else random.nextInt(1, 1000).toDouble(),
+        "some_new_field" to random.nextInt(),
+    )
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/settings/SettingsTest.kt
@@ -0,0 +1,117 @@
+package linemast.settings
+
+import linemast.wire.MalformedException
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class SettingsTest {
+    private val good = """
+        node_name = "mast-0"
+        domain = "zone"
+        serve_on = "10.0.0.1:8080"
+        peer_listen = "10.0.0.1:8081"
+        new_field = 1
+        [[members]]
+        node_name = "mast-1"
+        domain = "zone"
+        peer_addr = "10.0.0.2:8081"
+        [external]
+        cloud = "10.2.0.2:8443"
+        state = "10.2.0.1:2379"
+        [settings]
+        zones = ["zone"]
+        clock_off_ms = 250.0
+        [[settings.teams]]
+        name = "team"
+        cpus = 4
+        cpus_max = 8.0
+        gpus = 0.0
+        gpus_max = 0.0
+        [[settings.objectives]]
+        kind = "wait"
+        class = "lane"
+        within_s = 12.0
+        share = 0.78
+        [settings.workers]
+        report_s = 1.0
+        lease_s = 11.0
+        gang_wait_s = 45.0
+        gang_peer_s = 4.0
+        cancel_s = 36.0
+        [settings.state]
+        rps = 100.0
+        write_rps = 30.0
+        value_kb = 16.0
+        txn_ops = 16
+        [settings.cloud]
+        rps = 6.0
+        list_lag_s = 6.0
+        [settings.limits]
+        cpu_share = 0.085
+        mem_mb = 153.0
+        fd_limit = 600
+    """.trimIndent()
+
+    @Test
+    fun `a file in the platform's form is read and unknown fields are ignored`() {
+        val settings = SettingsReader.parse(good)
+        assertEquals(2, settings.controllers)
+        assertEquals(11_000_000L, settings.workers.leaseMicros)
+        assertEquals(16 * 1024, settings.stateLimits.valueBytes)
+        assertEquals(12_000_000L, settings.objectives.single().withinMicros)
+    }
+
+    @Test
+    fun `each line that is missing or spoilt is named`() {
+        val spoilt = mapOf(
+            "node_name = \"mast-0\"" to "node_name",
+            "serve_on = \"10.0.0.1:8080\"" to "serve_on",
+            "cloud = \"10.2.0.2:8443\"" to "external.cloud",
+            "rps = 100.0" to "settings.state.rps",
+            "lease_s = 11.0" to "settings.workers.lease_s",
+            "fd_limit = 600" to "settings.limits.fd_limit",
+            "cpus = 4" to "settings.teams[0].cpus",
+        )
+        for ((line, field) in spoilt) {
+            val name = line.substringBefore(' ')
+            for (bad in listOf("", "$name = true", "$name = -1")) {
+                val error = assertThrows(MalformedException::class.java, { SettingsReader.parse(good.replace(line, bad)) }, "$line -> $bad")
+                assertTrue(error.message.orEmpty().startsWith(field), "${error.message} should name $field")
+            }
+        }
+        assertThrows(MalformedException::class.java) { SettingsReader.parse("a = [") }
+        assertThrows(MalformedException::class.java) { SettingsReader.parse(good.replace("cancel_s = 36.0", "cancel_s = 10.0")) }
+    }
+
+    @Test
+    fun `a policy script sets what it names and keeps the rest`() {
+        val policy = PolicyScript.parse("local m = 60\nreturn { long_interval_s = 2 * m, short_interval_s = math.max(5, 3) }", "p.lua")
+        assertEquals(120_000_000L, policy.longIntervalMicros)
+        assertEquals(5_000_000L, policy.shortIntervalMicros)
+        assertEquals(40_000_000L, policy.idleReturnMicros)
+    }
+
+    @Test
+    fun `a broken policy script is refused with file and line`() {
+        val broken = mapOf(
+            "return {\n  long_interval_s = 'x',\n}" to "p.lua:2",
+            "return {\n\n  no_such_setting = 1 }" to "p.lua:3",
+            "return { idle_return_s = 0/0 }" to "p.lua:1",
+            "return 5" to "p.lua",
+            "local a = 1\nwhile true do a = a + 1 end" to "p.lua:2",
+            "return { long_interval_s = = 1 }" to "p.lua:1",
+            "local f\nf = function() return f() + 1 end\nreturn f()" to "p.lua",
+            "return { long_interval_s = os.time() }" to "p.lua:1",
+            "local s = 'x'\nfor i = 1, 60 do s = s .. s end\nreturn {}" to "p.lua",
+        )
+        for ((script, where) in broken) {
+            val error = assertThrows(SettingsException::class.java, { PolicyScript.parse(script, "p.lua") }, script)
+            assertTrue(where in error.message.orEmpty(), "${error.message} should name $where")
+        }
+        for (name in listOf("io", "os", "require", "load", "dofile", "package", "debug", "luajava")) {
+            assertThrows(SettingsException::class.java, { PolicyScript.parse("return $name.x", "p.lua") }, name)
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/wire/CborTest.kt
@@ -0,0 +1,74 @@
+package linemast.wire
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class CborTest {
+    private val seed = 4711
+
+    @Test
+    fun `generated maps come back as they were`() {
+        println("seed $seed")
+        val random = Random(seed)
+        repeat(500) {
+            val map = map(random, 4)
+            assertEquals(map, Cbor.decodeMap(Cbor.encode(map)).map)
+        }
+    }
+
+    @Test
+    fun `every truncation and most bit flips of a body are refused or read as something else, never a crash`() {
+        val random = Random(seed)
+        repeat(60) {
+            val bytes = Cbor.encode(map(random, 3))
+            for (length in bytes.indices) {
+                assertThrows(MalformedException::class.java) { Cbor.decodeMap(bytes.copyOf(length)) }
+            }
+            repeat(40) {
+                val flipped = bytes.copyOf()
+                val at = random.nextInt(bytes.size)
+                flipped[at] = (flipped[at].toInt() xor (1 shl random.nextInt(8))).toByte()
+                try {
+                    Cbor.decodeMap(flipped)
+                } catch (e: MalformedException) {
+                    assertEquals(false, e.message.isNullOrEmpty())
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `deep nesting, bytes, lists and huge integers are refused`() {
+        var deep: Any? = 1
+        repeat(60) { deep = listOf(deep) }
+        assertThrows(MalformedException::class.java) { Cbor.decodeMap(Cbor.encode(mapOf("a" to deep))) }
+        assertThrows(MalformedException::class.java) { Cbor.decodeMap(Cbor.encode(listOf(1))) }
+        // {"a": h'01'} and {"a": 2^64 - 1}
+        assertThrows(MalformedException::class.java) { Cbor.decodeMap(bytes(0xa1, 0x61, 0x61, 0x41, 0x01)) }
+        assertThrows(MalformedException::class.java) {
+            Cbor.decodeMap(bytes(0xa1, 0x61, 0x61, 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff))
+        }
+        // A text that claims two gigabytes.
+        assertThrows(MalformedException::class.java) { Cbor.decodeMap(bytes(0xa1, 0x61, 0x61, 0x7a, 0x7f, 0xff, 0xff, 0xff)) }
+    }
+
+    private fun bytes(vararg values: Int) = ByteArray(values.size) { values[it].toByte() }
+
+    private fun map(random: Random, depth: Int): Map<String, Any?> =
+        (0 until random.nextInt(5)).associate { text(random) to value(random, depth) }
+
+    private fun value(random: Random, depth: Int): Any? = when (random.nextInt(if (depth > 0) 8 else 6)) {
+        0 -> null
+        1 -> random.nextLong()
+        2 -> random.nextInt(100).toLong()
+        3 -> random.nextDouble()
+        4 -> random.nextBoolean()
+        5 -> text(random)
+        6 -> List(random.nextInt(4)) { value(random, depth - 1) }
+        else -> map(random, depth - 1)
+    }
+
+    private fun text(random: Random) = String(CharArray(random.nextInt(12)) { random.nextInt(0x20, 0x17f).toChar() })
+}
