--- a/src/main/kotlin/linemast/app/Controller.kt
+++ b/src/main/kotlin/linemast/app/Controller.kt
@@ -8,6 +8,8 @@
 import linemast.planning.Policy
 import linemast.settings.Settings
 import linemast.state.StoreClient
+import linemast.wire.HttpRequest
+import linemast.wire.HttpResponse
 import linemast.wire.HttpServer
 import linemast.wire.SteadyClock
 import org.slf4j.LoggerFactory
@@ -31,7 +33,13 @@
             wallMicros = { System.currentTimeMillis() * 1_000 },
             scope = this,
         )
-        val server = HttpServer(selector, settings.serveOn, settings.processLimits.fdLimit - RESERVED_SOCKETS, node::route)
+        var handler: suspend (HttpRequest) -> HttpResponse = node::route
+        if (log.isDebugEnabled) {
+            val meters = Meters(clock)
+            handler = meters.around(handler)
+            launch { meters.run() }
+        }
+        val server = HttpServer(selector, settings.serveOn, settings.processLimits.fdLimit - RESERVED_SOCKETS, handler)
         launch { server.serve(this) }
         val links = PeerLinks(settings, selector, node::frame, node::heard)
         launch { links.run(this) }
--- /dev/null
+++ b/src/main/kotlin/linemast/app/Meters.kt
@@ -0,0 +1,62 @@
+package linemast.app
+
+import kotlinx.coroutines.delay
+import linemast.wire.Clock
+import linemast.wire.HttpRequest
+import linemast.wire.HttpResponse
+import linemast.wire.SECOND_MICROS
+import org.HdrHistogram.Histogram
+import org.slf4j.LoggerFactory
+
+/** Latency of requests and use of the processor, summed up in the log at `debug`; not built at other levels. */
+class Meters(private val clock: Clock) {
+    private val log = LoggerFactory.getLogger(Meters::class.java)
+    private val latencies = sortedMapOf<String, Histogram>()
+    private var cpuMicros = cpuNow()
+    private var sinceMicros = clock.nowMicros()
+
+    /** [handler], measured. */
+    fun around(handler: suspend (HttpRequest) -> HttpResponse): suspend (HttpRequest) -> HttpResponse = { request ->
+        val start = clock.nowMicros()
+        handler(request).also { record(kind(request), clock.nowMicros() - start) }
+    }
+
+    private fun record(kind: String, micros: Long) {
+        latencies.getOrPut(kind) { Histogram(MOST_MICROS, 2) }.recordValue(micros.coerceIn(0, MOST_MICROS))
+    }
+
+    private fun kind(request: HttpRequest): String = when {
+        request.path == "/v1/jobs" -> "submit"
+        request.path.endsWith("/cancel") -> "cancel"
+        request.path.startsWith("/v1/jobs/") -> "poll"
+        request.path == "/agent/beat" -> "report"
+        else -> "other"
+    }
+
+    suspend fun run() {
+        while (true) {
+            delay(PERIOD_MILLIS)
+            for ((kind, histogram) in latencies) {
+                log.debug(
+                    "{}: {} requests, p50/p90/p99/max {}/{}/{}/{} us", kind, histogram.totalCount,
+                    histogram.getValueAtPercentile(50.0), histogram.getValueAtPercentile(90.0),
+                    histogram.getValueAtPercentile(99.0), histogram.maxValue,
+                )
+            }
+            latencies.clear()
+            val cpu = cpuNow()
+            val now = clock.nowMicros()
+            log.debug("processor: {} of a core", "%.4f".format((cpu - cpuMicros).toDouble() / (now - sinceMicros)))
+            cpuMicros = cpu
+            sinceMicros = now
+        }
+    }
+
+    private fun cpuNow(): Long =
+        ProcessHandle.current().info().totalCpuDuration().map { it.toNanos() / 1_000 }.orElse(0L)
+
+    private companion object {
+        const val PERIOD_MILLIS = 60_000L
+        const val MOST_MICROS = 60 * SECOND_MICROS
+    }
+}
--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -167,12 +167,12 @@
     fun isOwned(name: String): Boolean = standing?.contains(name) ?: true
 
     /** Machines to be given back now, with the reason. */
-    fun toReturn(workers: Map<String, Machine>, planned: Set<String>, nowMicros: Long): Map<String, String> {
+    fun toReturn(workers: Map<String, Machine>, planned: Set<String>, demandCeased: Boolean, nowMicros: Long): Map<String, String> {
         val reasons = LinkedHashMap<String, String>()
         for (machine in machines.values) {
             if (machine.returning) continue
             val worker = workers[machine.name]
-            reasons[machine.name] = reasonToReturn(machine, worker, planned, workers.values, nowMicros) ?: continue
+            reasons[machine.name] = reasonToReturn(machine, worker, planned, demandCeased, workers.values, nowMicros) ?: continue
         }
         return reasons
     }
@@ -181,6 +181,7 @@
         machine: CloudMachine,
         worker: Machine?,
         planned: Set<String>,
+        demandCeased: Boolean,
         workers: Collection<Machine>,
         nowMicros: Long,
     ): String? {
@@ -200,8 +201,11 @@
         if (silent > longSilent && neighbourReports(worker, workers, nowMicros)) return "silent"
         if (worker.placements.isNotEmpty() || worker.reservedFor != null || silent > quiet) return null
         val idle = nowMicros - worker.idleSinceMicros
-        if (isOwned(machine.name)) return if (idle > policy.ownedIdleMicros) "owned, long idle" else null
         if (machine.name in planned) return null
+        if (isOwned(machine.name)) {
+            val patience = if (demandCeased) policy.idleReturnMicros else policy.ownedIdleMicros
+            return if (idle > patience) "owned, long idle" else null
+        }
         return if (idle > minOf(policy.idleReturnMicros, machine.type.startupMicros)) "idle" else null
     }
 
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -24,6 +24,7 @@
     private var plannedMicros = Long.MIN_VALUE
     private var lookedMicros = Long.MIN_VALUE
     private val known = HashSet<String>()
+    private val demand = Demand()
 
     /** True once after each whole plan, for the record in the store. */
     var freshPlan = false
@@ -31,7 +32,9 @@
     fun step(wallMicros: Long, nowMicros: Long): CloudActions {
         if (fleet.standing == null || !cluster.settled) return NOTHING
         val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, planner, wallMicros).map { it.job }
-        val fresh = jobs.any { it.id !in known }
+        val arrived = jobs.count { it.id !in known }
+        repeat(arrived) { demand.arrived(nowMicros) }
+        val fresh = arrived > 0
         val whole = plannedMicros == Long.MIN_VALUE || nowMicros - plannedMicros >= policy.longIntervalMicros
         if (fresh || whole) plan(jobs, whole, wallMicros, nowMicros)
         if (!fresh && !whole && nowMicros - lookedMicros < policy.shortIntervalMicros) return NOTHING
@@ -63,15 +66,16 @@
         val wishes = planner.wishes(jobs, { isOwned(it.name) }, nowMicros)
         val rentals = fleet.toRent(wishes, cluster.types.values, cluster.machines, ::allowance, nowMicros)
         val wanted = wishes.filter { it.slots >= 1.0 }
-        val planned = if (wanted.isEmpty()) emptySet() else plannedMachines(wanted.map { it.job })
-        val returns = fleet.toReturn(cluster.machines, planned, nowMicros)
+        val planned = plannedMachines(wanted.map { it.job }, jobs)
+        val returns = fleet.toReturn(cluster.machines, planned, demand.hasCeased(nowMicros), nowMicros)
         for ((name, reason) in returns) log.info("returning {}: {}", name, reason)
         return CloudActions(rentals, returns)
     }
 
-    /** Idle rented machines that jobs with rented room in their plans could still use. */
-    private fun plannedMachines(jobs: List<Job>): Set<String> = cluster.machines.values.filter { machine ->
-        !isOwned(machine.name) && jobs.any { it.pendingCount > 0 && machine.type.takes(it.spec) && (it.spec.loaners || !machine.loaners) }
+    /** Machines that waiting jobs could still use: rented ones if a plan rents for such a job, owned ones for any. */
+    private fun plannedMachines(renting: List<Job>, all: List<Job>): Set<String> = cluster.machines.values.filter { machine ->
+        val users = if (isOwned(machine.name)) all else renting
+        users.any { it.pendingCount > 0 && machine.type.takes(it.spec) && (it.spec.loaners || !machine.loaners) }
     }.mapTo(HashSet()) { it.name }
 
     /** No more is rented for a job than its team may use at once. */
