An earlier leader's grace is over once every peer knows the new helm

Cause: after a crash of all controllers with two machines hung, opened jobs waited 30 s (grace and a lease). The simulation exchanges frames now; its gangs complete together.

--- a/src/main/kotlin/linemast/app/Meters.kt
+++ b/src/main/kotlin/linemast/app/Meters.kt
@@ -1,5 +1,6 @@
 package linemast.app
 
+import com.sun.management.OperatingSystemMXBean
 import kotlinx.coroutines.delay
 import linemast.wire.Clock
 import linemast.wire.HttpRequest
@@ -7,6 +8,7 @@
 import linemast.wire.SECOND_MICROS
 import org.HdrHistogram.Histogram
 import org.slf4j.LoggerFactory
+import java.lang.management.ManagementFactory
 
 /** Latency of requests and use of the processor, summed up in the log at `debug`; not built at other levels. */
 class Meters(private val clock: Clock) {
@@ -53,7 +55,7 @@
     }
 
     private fun cpuNow(): Long =
-        ProcessHandle.current().info().totalCpuDuration().map { it.toNanos() / 1_000 }.orElse(0L)
+        (ManagementFactory.getOperatingSystemMXBean() as? OperatingSystemMXBean)?.let { it.processCpuTime / 1_000 } ?: 0L
 
     private companion object {
         const val PERIOD_MILLIS = 60_000L
--- a/src/main/kotlin/linemast/app/Node.kt
+++ b/src/main/kotlin/linemast/app/Node.kt
@@ -90,6 +90,7 @@
         view.heardOf(frame.helm)
         if (frame.leads && frame.helm >= view.highestHelm && view.own == null) view.leaderName = frame.node
         peers.heard(frame)
+        duty?.peerKnows(frame.node, frame.helm)
     }
 
     suspend fun route(request: HttpRequest): HttpResponse = when (request.path) {
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -74,6 +74,7 @@
     private val fleetRecord = FleetRecord()
     private val electedMicros = clock.nowMicros()
     private var loaded = false
+    private val peersKnowing = HashSet<String>()
     private var storingMachines = false
     private val fleetWrites = Mutex()
 
@@ -96,6 +97,17 @@
         return if (taken.isSuccess) reply.await() else null
     }
 
+    /** Another controller knows of [helm]. Once all others know this lead's, no earlier one can go on. */
+    fun peerKnows(node: String, helm: Long) {
+        if (helm < authority.helm || !peersKnowing.add(node)) return
+        endEarlierGraceIfKnown()
+    }
+
+    private fun endEarlierGraceIfKnown() {
+        if (!loaded || !peersKnowing.containsAll(settings.members.map { it.nodeName })) return
+        events.trySend { cluster.endEarlierGrace(clock.nowMicros()) }
+    }
+
     fun progressOf(id: String): Progress? = cluster.jobs[id]?.let { Progress(it.doneCount, it.runningCount) }
 
     fun progress(): Map<String, Progress> = cluster.jobs.values.associate { it.id to Progress(it.doneCount, it.runningCount) }
@@ -262,6 +274,7 @@
                     cluster.jobs[id]?.let { takeDone(it, item, part.toInt()) }
                 }
                 loaded = true
+                endEarlierGraceIfKnown()
                 log.info("read {} open jobs and {} machines from the store", records.size, machines.size)
                 return open.era
             } catch (e: StoreException) {
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -43,6 +43,9 @@
     var loadedMicros = 0L
         private set
     private var unsettled = true
+
+    /** Until when an earlier leader may answer reports in its grace. */
+    private var graceEndMicros = 0L
     private var attempts = 0L
     val usage = TeamUsage(settings.teams)
     private val placer = Placer(this, settings)
@@ -65,16 +68,28 @@
     /** Takes what the store held; reports count from [nowMicros] on. */
     fun load(records: List<Pair<OpenRecord, Long>>, recorded: List<Machine>, nowMicros: Long) {
         loadedMicros = nowMicros
+        graceEndMicros = nowMicros + graceMicros + Authority.drift(graceMicros)
         for ((record, stamp) in records) jobs[record.spec.id] = Job(record, stamp, inherited = record.opened)
         for (machine in recorded) {
             machine.onRecord = true
             // An earlier leader in its grace may answer this worker until then.
-            machine.leaseEndMicros = nowMicros + graceMicros + Authority.drift(graceMicros) + leaseSpanMicros
+            machine.leaseEndMicros = graceEndMicros + leaseSpanMicros
             machines[machine.name] = machine
         }
         settle(nowMicros)
     }
 
+    /**
+     * Every other controller has shown that it knows this helm, which ended any lower lead of its own: from now
+     * on no earlier leader answers a report.
+     */
+    fun endEarlierGrace(nowMicros: Long) {
+        if (nowMicros >= graceEndMicros) return
+        graceEndMicros = nowMicros
+        val latest = nowMicros + leaseSpanMicros
+        machines.values.forEach { it.leaseEndMicros = minOf(it.leaseEndMicros, latest) }
+    }
+
     fun putJob(record: OpenRecord, stamp: Long) {
         val job = jobs[record.spec.id]
         if (job == null) {
@@ -137,7 +152,7 @@
         machine.tick = report.tick
         machine.helm = maxOf(machine.helm, report.helm)
         machine.reportedMicros = nowMicros
-        val mayStillBeAnswered = if (report.helm >= helm) nowMicros else maxOf(nowMicros, loadedMicros + graceMicros)
+        val mayStillBeAnswered = if (report.helm >= helm) nowMicros else maxOf(nowMicros, graceEndMicros)
         machine.leaseEndMicros = mayStillBeAnswered + leaseSpanMicros
         if (report.recallMicros != null && machine.recallMicros == null) {
             log.info("{}: recalled by the cloud in {} s", machine.name, report.recallMicros / 1e6)
--- a/src/test/kotlin/linemast/simulation/SimWorker.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -85,7 +85,9 @@
             "running" -> when {
                 job.gang && !world.gangWhole(task) -> end(task, if (world.gangDone(task)) "done" else "mates_gone")
                 now >= task.endMicros -> {
-                    world.completed += "${task.job}/${task.index}"
+                    // A gang completes together: when one task is done, all are.
+                    val done = if (job.gang) 0 until job.pieces else task.index..task.index
+                    done.forEach { world.completed += "${task.job}/$it" }
                     end(task, "done")
                 }
             }
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -80,6 +80,23 @@
                 checkCancelled()
             }
         }
+        repeat(3) { from -> scope.launch { frames(from) } }
+    }
+
+    /** Frames between controllers; some come late, also from a process that has ended since. */
+    private suspend fun frames(from: Int) {
+        while (true) {
+            delay(1_000)
+            val frame = nodes[from]?.frame() ?: continue
+            for (to in 0..2) {
+                if (to == from || random.nextDouble() < networkLoss) continue
+                val late = if (random.nextInt(20) == 0) random.nextLong(20_000) else random.nextLong(1, 50)
+                scope.launch {
+                    delay(late)
+                    nodes[to]?.heard(frame)
+                }
+            }
+        }
     }
 
     fun startNode(at: Int) {
@@ -137,9 +154,7 @@
             .map { it.index }.distinct().count() == jobs.getValue(task.job).pieces
 
     fun gangDone(task: SimWorker.Task): Boolean =
-        (0 until jobs.getValue(task.job).pieces).any { "${task.job}/$it" in completed }.also { done ->
-            if (done) repeat(jobs.getValue(task.job).pieces) { completed += "${task.job}/$it" }
-        }
+        "${task.job}/${task.index}" in completed
 
     fun checkStart(worker: SimWorker, task: SimWorker.Task) {
         starts++
