--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -30,7 +30,7 @@
     val helm: Long,
     private val graceMicros: Long,
     private val effects: Effects,
-    private val times: TaskTimes,
+    val times: TaskTimes,
     val planner: Planner,
     val wallMicros: () -> Long,
 ) {
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -17,6 +17,8 @@
     private val log = LoggerFactory.getLogger(Placer::class.java)
     private val scarce = ScarceTypes()
     private val staleMicros = settings.workers.reportMicros * 5 / 2 + REPORT_SLACK_MICROS
+    private val guaranteeMicros =
+        settings.objectives.filter { it.kind == "guarantee" }.mapNotNull { it.withinMicros }.minOrNull() ?: DEFAULT_GUARANTEE_MICROS
     private val windDownMicros = settings.workers.gangPeerMicros
 
     fun startable(job: Job, nowMicros: Long): Boolean =
@@ -51,7 +53,7 @@
     private fun giveGuarantee(job: Job, ranked: List<JobOrder.Ranked>, nowMicros: Long) {
         val spec = job.spec
         val onTheWay = cluster.machines.values.sumOf { machine -> machine.placements.values.count { it.haltedFor === job } }
-        var missing = minOf(job.pendingCount, roomInTeam(job)) - onTheWay
+        var missing = minOf(job.pendingCount, roomInTeam(job)) - onTheWay - freeInTime(job, nowMicros)
         if (missing <= 0) return
         val safe = ranked.filter { it.guaranteed }.mapTo(HashSet()) { it.job }
         val beyond = HashMap<String, Double>()
@@ -73,6 +75,19 @@
         }
     }
 
+    /** How many tasks end by themselves soon enough: a job within its guarantee is the first to get their room. */
+    private fun freeInTime(job: Job, nowMicros: Long): Int {
+        val window = guaranteeMicros - (cluster.wallMicros() - job.acceptedWallMicros)
+        if (window <= 0) return 0
+        return usable(job, nowMicros).sumOf { machine ->
+            machine.placements.values.count { placement ->
+                val other = placement.job
+                other != null && placement.isRunning && other.spec.vcpus >= job.spec.vcpus &&
+                    placement.runningSinceMicros + cluster.times.estimateMicros(other) < nowMicros + window
+            }
+        }
+    }
+
     /** The youngest first, since they lose least; but those whose start would not count yet come last. */
     private fun victimRank(placement: Placement, nowMicros: Long): Long {
         val age = nowMicros - placement.sentMicros
@@ -226,6 +241,7 @@
     private companion object {
         const val REPORT_SLACK_MICROS = 1_500_000L
         const val RESERVATION_MICROS = 15_000_000L
+        const val DEFAULT_GUARANTEE_MICROS = 10_000_000L
         const val COUNTED_START_MICROS = 30_000_000L
         const val GPU_WEIGHT = 16.0
         const val EPSILON = 1e-6
