--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -37,10 +37,11 @@
         // First what is booked on owned machines, then whatever is left over.
         for (job in ready) if (job.spec.isGang) placeGang(job, nowMicros) else placeSweep(job, cluster.bookings(job), nowMicros)
         for (job in ready) if (!job.spec.isGang && job.pendingCount > 0) placeSweep(job, Int.MAX_VALUE, nowMicros)
+        val ending = HashSet<Placement>()
         for (ranked in jobs) {
             val job = ranked.job
             if (ranked.guaranteed && !job.spec.isGang && job.pendingCount > 0 && startable(job, nowMicros)) {
-                giveGuarantee(job, jobs, nowMicros)
+                giveGuarantee(job, jobs, ending, nowMicros)
             }
         }
     }
@@ -50,10 +51,11 @@
      *
      * Nobody is pushed below a guarantee, and work that is itself within one is left alone.
      */
-    private fun giveGuarantee(job: Job, ranked: List<JobOrder.Ranked>, nowMicros: Long) {
+    private fun giveGuarantee(job: Job, ranked: List<JobOrder.Ranked>, ending: MutableSet<Placement>, nowMicros: Long) {
         val spec = job.spec
         val onTheWay = cluster.machines.values.sumOf { machine -> machine.placements.values.count { it.haltedFor === job } }
-        var missing = minOf(job.pendingCount, roomInTeam(job)) - onTheWay - freeInTime(job, nowMicros)
+        var missing = minOf(job.pendingCount, roomInTeam(job)) - onTheWay
+        missing -= freeInTime(job, missing, ending, nowMicros)
         if (missing <= 0) return
         val safe = ranked.filter { it.guaranteed }.mapTo(HashSet()) { it.job }
         val beyond = HashMap<String, Double>()
@@ -75,17 +77,27 @@
         }
     }
 
-    /** How many tasks end by themselves soon enough: a job within its guarantee is the first to get their room. */
-    private fun freeInTime(job: Job, nowMicros: Long): Int {
-        val window = guaranteeMicros - (cluster.wallMicros() - job.acceptedWallMicros)
-        if (window <= 0) return 0
-        return usable(job, nowMicros).sumOf { machine ->
-            machine.placements.values.count { placement ->
-                val other = placement.job
-                other != null && placement.isRunning && other.spec.vcpus >= job.spec.vcpus &&
-                    placement.runningSinceMicros + cluster.times.estimateMicros(other) < nowMicros + window
-            }
-        }
+    /**
+     * Up to [most] tasks that end by themselves soon enough, for a job within its guarantee is the first to get
+     * their room. Each counts for one job only, and one that runs longer than estimated for none.
+     */
+    private fun freeInTime(job: Job, most: Int, ending: MutableSet<Placement>, nowMicros: Long): Int {
+        val window = (guaranteeMicros - (cluster.wallMicros() - job.acceptedWallMicros)) / 2
+        if (window <= 0 || most <= 0) return 0
+        val inTime = usable(job, nowMicros)
+            .filter { !scarce.keepFree(job.spec, it, cluster.machines.values) }
+            .flatMap { it.placements.values }
+            .filter { it !in ending && endsWithin(it, job, nowMicros, window) }
+            .take(most)
+        ending += inTime
+        return inTime.size
+    }
+
+    private fun endsWithin(placement: Placement, job: Job, nowMicros: Long, window: Long): Boolean {
+        val other = placement.job ?: return false
+        if (!placement.isRunning || other.spec.vcpus < job.spec.vcpus) return false
+        val left = placement.runningSinceMicros + cluster.times.estimateMicros(other) - nowMicros
+        return left in 0..window
     }
 
     /** The youngest first, since they lose least; but those whose start would not count yet come last. */
