--- a/src/main/kotlin/linemast/app/Node.kt
+++ b/src/main/kotlin/linemast/app/Node.kt
@@ -13,6 +13,7 @@
 import linemast.leadership.Authority
 import linemast.leadership.Election
 import linemast.leadership.LeaderDuty
+import linemast.leadership.LeaderKeys
 import linemast.leadership.LeaderView
 import linemast.peers.PeerFrame
 import linemast.peers.PeerView
@@ -22,6 +23,7 @@
 import linemast.state.Condition
 import linemast.state.Store
 import linemast.state.StoreException
+import linemast.state.StoreProbe
 import linemast.state.Write
 import linemast.wire.Cbor
 import linemast.wire.Clock
@@ -45,6 +47,7 @@
     private val view = LeaderView()
     private val peers = PeerView(clock)
     private val graceMicros = Authority.graceMicros(settings.workers.leaseMicros, settings.workers.cancelMicros)
+    private val probe = StoreProbe(store, clock)
     private var types: List<MachineType>? = null
     private var duty: LeaderDuty? = null
     private var dutyScope: CoroutineScope? = null
@@ -59,6 +62,7 @@
 
     fun start() {
         scope.launch { learnTypes() }
+        scope.launch { probe.run(LeaderKeys.HELM) }
         val election = Election(
             store, clock, settings.nodeName, policy.leaderHoldMicros, graceMicros, view,
             onElected = ::startDuty,
@@ -83,7 +87,7 @@
 
     fun frame(): PeerFrame {
         val leading = duty
-        return PeerFrame(settings.nodeName, view.highestHelm, leading != null, leading?.progress() ?: emptyMap())
+        return PeerFrame(settings.nodeName, view.highestHelm, leading != null, probe.works, leading?.progress() ?: emptyMap())
     }
 
     fun heard(frame: PeerFrame) {
@@ -94,11 +98,18 @@
     }
 
     suspend fun route(request: HttpRequest): HttpResponse = when (request.path) {
-        "/healthz" -> if (request.method == "GET") HttpResponse(if (types != null) 200 else 503) else HttpResponse(404)
+        "/healthz" -> if (request.method == "GET") HttpResponse(if (isHealthy()) 200 else 503) else HttpResponse(404)
         "/agent/beat" -> if (request.method == "POST") beat(request) else HttpResponse(404)
         else -> desk.handle(request) ?: HttpResponse(404)
     }
 
+    /**
+     * Without the state service no request can be answered. Users are sent elsewhere only if it answers another
+     * controller: in an outage for all, being taken out would only delay the return.
+     */
+    private fun isHealthy(): Boolean =
+        types != null && (probe.failingFor(clock.nowMicros()) < UNHEALTHY_MICROS || !peers.storeWorksElsewhere)
+
     private suspend fun beat(request: HttpRequest): HttpResponse {
         val report = Report.read(Cbor.decodeMap(request.body))
         view.heardOf(report.helm)
@@ -149,5 +160,6 @@
 
     private companion object {
         const val RETRY_MILLIS = 500L
+        const val UNHEALTHY_MICROS = 1_500_000L
     }
 }
--- a/src/main/kotlin/linemast/peers/PeerFrame.kt
+++ b/src/main/kotlin/linemast/peers/PeerFrame.kt
@@ -17,6 +17,8 @@
     val helm: Long,
     /** Whether the sender leads with that helm. */
     val leads: Boolean,
+    /** Whether the state service answers the sender. */
+    val storeWorks: Boolean,
     val progress: Map<String, Progress>,
 ) {
     fun encode(): Buffer {
@@ -24,7 +26,7 @@
         out.writeByte(VERSION)
         writeText(out, node)
         out.writeLong(helm)
-        out.writeByte(if (leads) 1 else 0)
+        out.writeByte((if (leads) LEADS else 0) or (if (storeWorks) STORE_WORKS else 0))
         val shown = progress.entries.take(MAX_JOBS)
         out.writeShort(shown.size)
         for ((id, counts) in shown) {
@@ -38,6 +40,8 @@
     companion object {
         const val MAX_BYTES = 64 * 1024
         private const val VERSION = 1
+        private const val LEADS = 1
+        private const val STORE_WORKS = 2
         private const val MAX_JOBS = 1_000
         private const val MAX_TEXT = 200
 
@@ -45,13 +49,13 @@
             if (from.readByte().toInt() != VERSION) throw MalformedException("peer frame: unknown version")
             val node = readText(from)
             val helm = from.readLong()
-            val leads = from.readByte().toInt() == 1
+            val flags = from.readByte().toInt()
             val count = from.readShort().toInt()
             if (count !in 0..MAX_JOBS) throw MalformedException("peer frame: too many jobs")
             val progress = LinkedHashMap<String, Progress>(count * 2)
             repeat(count) { progress[readText(from)] = Progress(from.readInt(), from.readInt()) }
             if (!from.exhausted()) throw MalformedException("peer frame: too long")
-            PeerFrame(node, helm, leads, progress)
+            PeerFrame(node, helm, flags and LEADS != 0, flags and STORE_WORKS != 0, progress)
         } catch (e: EOFException) {
             throw MalformedException("peer frame: too short")
         }
--- a/src/main/kotlin/linemast/peers/PeerView.kt
+++ b/src/main/kotlin/linemast/peers/PeerView.kt
@@ -9,7 +9,13 @@
     private var frame: PeerFrame? = null
     private var heardMicros = 0L
 
+    private var storeWorkedMicros = Long.MIN_VALUE / 2
+
+    /** Whether another controller said lately that the state service answers it. */
+    val storeWorksElsewhere: Boolean get() = clock.nowMicros() - storeWorkedMicros < FRESH_MICROS
+
     fun heard(next: PeerFrame) {
+        if (next.storeWorks) storeWorkedMicros = clock.nowMicros()
         val last = frame
         if (!next.leads || (last != null && next.helm < last.helm)) return
         frame = next
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -160,6 +160,7 @@
         }
         machine.recallMicros = report.recallMicros
         reconcile(machine, report, nowMicros)
+        if (machine.recallMicros != null) saveBeforeRecall(machine)
         if (!mayOrder) return emptyList()
         settle(nowMicros)
         if (dirty && nowMicros - lastPassMicros >= PASS_MICROS) pass(nowMicros)
@@ -211,6 +212,22 @@
         if (machine.placements.isNotEmpty() || machine.idleSinceMicros == 0L) machine.idleSinceMicros = nowMicros
     }
 
+    /**
+     * Tasks that can save do so before the cloud takes the machine; the others go on, in the hope of ending first.
+     * A gang saves only if all its tasks are stopped together.
+     */
+    private fun saveBeforeRecall(machine: Machine) {
+        for (placement in machine.placements.values) {
+            val job = placement.job ?: continue
+            if (!placement.isRunning || job.spec.neverSaves || placement.haltReason != null) continue
+            val stopped = if (job.spec.isGang) job.placements.filter { !it.isAssigned } else listOf(placement)
+            for (mate in stopped) {
+                mate.haltReason = "${machine.name} is recalled"
+                mate.haltWindDownMicros = job.spec.markMicros + settings.workers.gangPeerMicros
+            }
+        }
+    }
+
     private fun adoptGang(job: Job, piece: PieceReport) {
         job.gangAttempt = maxOf(job.gangAttempt, piece.attempt)
         job.gangAttemptUsed = true
--- /dev/null
+++ b/src/main/kotlin/linemast/state/StoreProbe.kt
@@ -0,0 +1,30 @@
+package linemast.state
+
+import kotlinx.coroutines.delay
+import linemast.wire.Clock
+import linemast.wire.SECOND_MICROS
+
+/**
+ * Whether the state service answers this controller.
+ *
+ * It may refuse one controller alone, whose open watches then just wait; so it is asked once a second.
+ */
+class StoreProbe(private val store: Store, private val clock: Clock) {
+    private var failingSinceMicros: Long? = null
+
+    val works: Boolean get() = failingSinceMicros == null
+
+    fun failingFor(nowMicros: Long): Long = failingSinceMicros?.let { nowMicros - it } ?: 0L
+
+    suspend fun run(key: String) {
+        while (true) {
+            failingSinceMicros = try {
+                store.get(key)
+                null
+            } catch (e: StoreException) {
+                failingSinceMicros ?: clock.nowMicros()
+            }
+            delay(SECOND_MICROS / 1_000)
+        }
+    }
+}
