--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -157,16 +157,17 @@
 
     /** The standing fleet is what the first leader of all found before anything was rented. */
     private suspend fun learnStanding() {
-        val stored = store.get(STANDING_KEY)
-        val names = if (stored != null) {
-            stored.value.textsOrNull("rigs") ?: emptyList()
+        val stored = store.listAll(STANDING_PREFIX).items
+        val names = if (stored.isNotEmpty()) {
+            stored.flatMap { it.value.textsOrNull("rigs") ?: emptyList() }
         } else {
             val found = cloud.machines().filter { !it.loaners && it.status != "failed" }.map { it.name }
             // The list lags: only one that stays empty for long enough says that there is no standing fleet.
             val stillLagging = clock.nowMicros() < electedMicros + LAGS_UNTIL_EMPTY * settings.cloudLimits.listLagMicros
             if (found.isEmpty() && stillLagging) return
-            val write = Write.Put(STANDING_KEY, mapOf("rigs" to found))
-            if (store.commit(listOf(fence, Condition(STANDING_KEY, 0L)), listOf(write)) !is CommitResult.Applied) return
+            val chunks = found.chunked(STANDING_CHUNK).ifEmpty { listOf(emptyList()) }
+            val writes = chunks.mapIndexed { at, names -> Write.Put("$STANDING_PREFIX$at", mapOf("rigs" to names)) }
+            if (store.commit(listOf(fence, Condition("${STANDING_PREFIX}0", 0L)), writes) !is CommitResult.Applied) return
             log.info("standing fleet: {} machines", found.size)
             found
         }
@@ -483,7 +484,8 @@
         const val RENT_TRIES = 5
         const val LAGS_UNTIL_EMPTY = 2
         const val PLANS_SHOWN = 40
-        const val STANDING_KEY = "standing"
+        const val STANDING_PREFIX = "standing/"
+        const val STANDING_CHUNK = 200
         const val PLAN_KEY = "plan"
         const val TICK_MICROS = 250_000L
         const val FOLLOW_MICROS = 10 * SECOND_MICROS
--- /dev/null
+++ b/src/test/kotlin/linemast/planning/PlannerTest.kt
@@ -0,0 +1,130 @@
+package linemast.planning
+
+import linemast.cloud.MachineType
+import linemast.jobs.JobSpec
+import linemast.jobs.OpenRecord
+import linemast.settings.SettingsReader
+import linemast.wire.Fields
+import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.PieceId
+import linemast.workers.Placement
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class PlannerTest {
+    private val type = MachineType("t", 8.0, 0.0, 64.0, 10.0, 1.0, 1.0, 0.3, 30_000_000, listOf("z"))
+
+    @Test
+    fun `generated plans keep the paper's targets`() {
+        val seed = 3
+        println("seed $seed")
+        val random = Random(seed)
+        repeat(300) {
+            val machines = List(random.nextInt(6)) { Machine("host-$it", type, "z", false) }
+            val job = job("req-1", random.nextInt(1, 400), guessS = random.nextInt(5, 90), dueS = random.nextInt(20, 600))
+            machines.forEach { machine ->
+                repeat(random.nextInt(9)) { index ->
+                    val running = Placement(machine, PieceId("req-9", index), 1, job("req-9", 9, 30, 100))
+                    running.phase = Placement.Phase.RUNNING
+                    running.runningSinceMicros = -random.nextLong(60_000_000)
+                    machine.put(running)
+                }
+            }
+            val plan = plan(job, machines)
+            val tasks = job.spec.pieces.toDouble()
+            assertTrue(plan.owned.all { it >= 0 } && plan.rented.all { it >= -1e-6 })
+            assertEquals(tasks, plan.owned.sum() + plan.rented.sum(), tasks * 1e-6 + 1e-6, "all tasks are planned, once")
+            if (machines.isEmpty()) assertEquals(tasks, plan.rented.sum(), 1e-6, "with no owned room all is rented")
+            // Nothing is planned into intervals that end after the deadline, but for the first.
+            val due = job.spec.dueMicros ?: 0L
+            for (i in 1 until plan.owned.size) {
+                if (i * 60_000_000L + plan.taskMicros > due) assertEquals(0.0, plan.owned[i] + plan.rented[i], 1e-9)
+            }
+        }
+    }
+
+    @Test
+    fun `owned targets stand in proportion to free room when that suffices`() {
+        val machine = Machine("host-1", type, "z", false)
+        val plan = plan(job("req-1", 12, guessS = 30, dueS = 180), listOf(machine))
+        assertEquals(listOf(4.0, 4.0, 4.0), plan.owned.take(3))
+        assertEquals(0.0, plan.rented.sum(), 1e-9)
+    }
+
+    @Test
+    fun `what fell short is rented in the next plan`() {
+        val machine = Machine("host-1", type, "z", false)
+        val planner = planner()
+        val job = job("req-1", 16, guessS = 30, dueS = 300)
+        planner.plan(listOf(job), listOf(machine), true, { 0L }, 0L, 0L)
+        planner.plan(listOf(job), listOf(machine), true, { 0L }, 60_000_000L, 60_000_000L)
+        val plan = requireNotNull(planner.planOf(job))
+        assertTrue(plan.topUp > 3.0, "top-up ${plan.topUp}")
+        assertEquals(plan.topUp, plan.rented.sum(), 1e-6)
+    }
+
+    @Test
+    fun `room that is not free at once is backed up, and released as it is granted`() {
+        val machine = Machine("host-1", type, "z", false)
+        val other = job("req-9", 8, guessS = 30, dueS = 100)
+        repeat(8) { index ->
+            val running = Placement(machine, PieceId("req-9", index), 1, other)
+            running.phase = Placement.Phase.RUNNING
+            machine.put(running)
+        }
+        val planner = planner()
+        val job = job("req-1", 8, guessS = 30, dueS = 60)
+        planner.plan(listOf(job), listOf(machine), true, { 0L }, 0L, 0L)
+        val backed = planner.wishes(listOf(job), { it === machine }, 0L).single().slots
+        assertTrue(backed > 0.0)
+        repeat(8) { index ->
+            val granted = Placement(machine, PieceId("req-1", index), 2, job)
+            granted.phase = Placement.Phase.RUNNING
+            job.add(granted)
+        }
+        assertEquals(0.0, planner.wishes(listOf(job), { it === machine }, 0L).single().slots, 1e-9)
+    }
+
+    private fun plan(job: Job, machines: List<Machine>): JobPlan {
+        val planner = planner()
+        planner.plan(listOf(job), machines, true, { 0L }, 0L, 0L)
+        return requireNotNull(planner.planOf(job))
+    }
+
+    private fun planner() = Planner(settings, Policy(), TaskTimes())
+
+    private fun job(id: String, pieces: Int, guessS: Int, dueS: Int): Job {
+        val spec = JobSpec.read(
+            Fields(
+                mapOf(
+                    "name_id" to id, "lane" to "lane", "crew" to "team", "shape" to "sweep", "urgency" to "normal", "pieces" to pieces,
+                    "vcpus" to 1.0, "gpus" to 0.0, "memory_gb" to 1.0, "bundle" to "img", "pull_gb" to 1.0, "same_place" to false,
+                    "apart" to false, "loaners" to true, "guess_s" to guessS, "mark_every_s" to 0, "mark_s" to 0, "due_s" to dueS,
+                ),
+            ),
+        )
+        return Job(OpenRecord(spec, 0L, opened = true, withdrawn = false), 1L, inherited = false)
+    }
+
+    private val settings = SettingsReader.parse(
+        """
+        node_name = "mast-0"
+        domain = "z"
+        serve_on = "10.0.0.1:1"
+        peer_listen = "10.0.0.1:2"
+        [external]
+        cloud = "10.0.0.2:1"
+        state = "10.0.0.3:1"
+        [settings]
+        clock_off_ms = 0
+        teams = [{ name = "team", cpus = 8, cpus_max = 64, gpus = 0, gpus_max = 0 }]
+        workers = { report_s = 1, lease_s = 10, gang_wait_s = 10, gang_peer_s = 2, cancel_s = 30 }
+        state = { rps = 100, write_rps = 50, value_kb = 8, txn_ops = 16 }
+        cloud = { rps = 5, list_lag_s = 5 }
+        limits = { cpu_share = 0.1, mem_mb = 150, fd_limit = 500 }
+        """.trimIndent(),
+    )
+}
