Keep idle rented machines for 100 s

Cause: machines returned after their boot time were rented again for the next job, which then waited for the boot.

--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -206,7 +206,7 @@
             val patience = if (demandCeased) policy.idleReturnMicros else policy.ownedIdleMicros
             return if (idle > patience) "owned, long idle" else null
         }
-        return if (idle > minOf(policy.idleReturnMicros, machine.type.startupMicros)) "idle" else null
+        return if (idle > policy.idleReturnMicros) "idle" else null
     }
 
     /** A zone that is silent as a whole is more likely cut off than gone. */
--- a/src/main/kotlin/linemast/planning/Policy.kt
+++ b/src/main/kotlin/linemast/planning/Policy.kt
@@ -8,8 +8,8 @@
     val longIntervalMicros: Long = 60 * SECOND_MICROS,
     /** Between two looks at which backups are still needed. */
     val shortIntervalMicros: Long = 10 * SECOND_MICROS,
-    /** A rented machine without work or plan is returned after this long, or its boot time if that is less. */
-    val idleReturnMicros: Long = 40 * SECOND_MICROS,
+    /** A rented machine without work or plan is returned after this long, after this long. */
+    val idleReturnMicros: Long = 100 * SECOND_MICROS,
     /** An owned machine without work is returned after this long. */
     val ownedIdleMicros: Long = 1_800 * SECOND_MICROS,
     /** Lease of the leader on its key. */
--- a/src/test/kotlin/linemast/settings/SettingsTest.kt
+++ b/src/test/kotlin/linemast/settings/SettingsTest.kt
@@ -1,5 +1,6 @@
 package linemast.settings
 
+import linemast.planning.Policy
 import linemast.wire.MalformedException
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
@@ -90,7 +91,7 @@
         val policy = PolicyScript.parse("local m = 60\nreturn { long_interval_s = 2 * m, short_interval_s = math.max(5, 3) }", "p.lua")
         assertEquals(120_000_000L, policy.longIntervalMicros)
         assertEquals(5_000_000L, policy.shortIntervalMicros)
-        assertEquals(40_000_000L, policy.idleReturnMicros)
+        assertEquals(Policy().idleReturnMicros, policy.idleReturnMicros)
     }
 
     @Test
