--- a/src/main/kotlin/linemast/jobs/JobDesk.kt
+++ b/src/main/kotlin/linemast/jobs/JobDesk.kt
@@ -14,6 +14,7 @@
 import linemast.wire.Cbor
 import linemast.wire.HttpRequest
 import linemast.wire.HttpResponse
+import linemast.wire.MalformedException
 import org.slf4j.LoggerFactory
 
 /** Progress of jobs for display, as the leader last told it. */
@@ -103,7 +104,7 @@
         if (!JobSpec.isId(id)) return HttpResponse(404)
         repeat(CANCEL_TRIES) {
             val item = finals[id]?.let { return known(id, it) } ?: store.get(JobKeys.verdict(id)) ?: return HttpResponse(404)
-            val verdict = remember(id, VerdictRecord.read(item.value))
+            val verdict = remember(id, stored { VerdictRecord.read(item.value) })
             if (verdict.verdict.isFinal) return known(id, verdict)
             val open = store.get(JobKeys.open(id)) ?: return@repeat
             val withdrawn = VerdictRecord(Verdict.WITHDRAWN, verdict.pieces)
@@ -111,7 +112,7 @@
                 listOf(Condition(item.key, item.stamp), Condition(open.key, open.stamp)),
                 listOf(
                     Write.Put(item.key, withdrawn.toMap()),
-                    Write.Put(open.key, OpenRecord.read(open).with(withdrawn = true).toMap()),
+                    Write.Put(open.key, stored { OpenRecord.read(open) }.with(withdrawn = true).toMap()),
                 ),
             )
             if (result is CommitResult.Applied) return known(id, remember(id, withdrawn))
@@ -148,7 +149,15 @@
         } else {
             (running.next ?: CompletableDeferred<Result<Item?>>().also { running.next = it }).await()
         }.getOrThrow() ?: return null
-        return remember(id, VerdictRecord.read(item.value))
+        return remember(id, stored { VerdictRecord.read(item.value) })
+    }
+
+    /** A record that cannot be read is the store's trouble: the user who asks must not be told 400 for it. */
+    private inline fun <T> stored(read: () -> T): T = try {
+        read()
+    } catch (e: MalformedException) {
+        log.error("malformed record in the store: {}", e.message)
+        throw StoreException("malformed record", mayHaveRun = false)
     }
 
     private suspend fun readInTurn(id: String, first: CompletableDeferred<Result<Item?>>) {
