One thread for routines, timers and sockets in place of ktor's selector and pool

A flight recording put nearly all of it in passing each message between the selector's thread, the I/O pool and the main thread, little in placement or CBOR. wire/EventLoop is the selector manager, dispatcher and timer of one thread; ktor-network still opens the sockets, ktor's CIO parser still reads heads.

--- a/src/main/kotlin/linemast/app/Controller.kt
+++ b/src/main/kotlin/linemast/app/Controller.kt
@@ -1,6 +1,5 @@
 package linemast.app
 
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import linemast.cloud.CloudClient
@@ -8,6 +7,7 @@
 import linemast.planning.Policy
 import linemast.settings.Settings
 import linemast.state.StoreClient
+import linemast.wire.EventLoop
 import linemast.wire.HttpRequest
 import linemast.wire.HttpResponse
 import linemast.wire.HttpServer
@@ -18,7 +18,7 @@
 class Controller(
     private val settings: Settings,
     private val policy: Policy,
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
 ) {
     private val log = LoggerFactory.getLogger(Controller::class.java)
 
@@ -27,8 +27,8 @@
         val node = Node(
             settings = settings,
             policy = policy,
-            store = StoreClient(selector, settings.state, settings.stateLimits, settings.controllers, clock),
-            cloud = CloudClient(selector, settings.cloud, settings.cloudLimits, clock),
+            store = StoreClient(loop, settings.state, settings.stateLimits, settings.controllers, clock),
+            cloud = CloudClient(loop, settings.cloud, settings.cloudLimits, clock),
             clock = clock,
             wallMicros = { System.currentTimeMillis() * 1_000 },
             scope = this,
@@ -39,9 +39,9 @@
             handler = meters.around(handler)
             launch { meters.run() }
         }
-        val server = HttpServer(selector, settings.serveOn, settings.processLimits.fdLimit - RESERVED_SOCKETS, handler)
+        val server = HttpServer(loop, settings.serveOn, settings.processLimits.fdLimit - RESERVED_SOCKETS, handler)
         launch { server.serve(this) }
-        val links = PeerLinks(settings, selector, node::frame, node::heard)
+        val links = PeerLinks(settings, loop, node::frame, node::heard)
         launch { links.run(this) }
         node.start()
         log.info("{} serving on {}", settings.nodeName, settings.serveOn)
--- a/src/main/kotlin/linemast/app/Main.kt
+++ b/src/main/kotlin/linemast/app/Main.kt
@@ -1,18 +1,15 @@
 package linemast.app
 
-import io.ktor.network.selector.ActorSelectorManager
-import kotlinx.coroutines.asCoroutineDispatcher
-import kotlinx.coroutines.runBlocking
 import linemast.planning.Policy
 import linemast.settings.PolicyScript
 import linemast.settings.Settings
 import linemast.settings.SettingsException
 import linemast.settings.SettingsReader
+import linemast.wire.EventLoop
 import picocli.CommandLine
 import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Model.OptionSpec
 import java.nio.file.Path
-import java.util.concurrent.Executors
 import kotlin.system.exitProcess
 
 private const val VERSION = "linemast 0.1.0"
@@ -86,11 +83,7 @@
         println("$file: fine")
         return 0
     }
-    val main = singleThread("main")
-    val selector = ActorSelectorManager(singleThread("selector"))
-    runBlocking(main) { Controller(settings, policy, selector).run() }
+    val loop = EventLoop()
+    loop.run { Controller(settings, policy, loop).run() }
     return 0
 }
-
-internal fun singleThread(name: String) =
-    Executors.newSingleThreadExecutor { Thread(it, "linemast-$name").apply { isDaemon = true } }.asCoroutineDispatcher()
--- a/src/main/kotlin/linemast/app/Rehearsal.kt
+++ b/src/main/kotlin/linemast/app/Rehearsal.kt
@@ -1,16 +1,15 @@
 package linemast.app
 
-import io.ktor.network.selector.ActorSelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import linemast.planning.Policy
 import linemast.settings.Settings
 import linemast.settings.SettingsReader
 import linemast.wire.Address
 import linemast.wire.Cbor
+import linemast.wire.EventLoop
 import linemast.wire.Fields
 import linemast.wire.HttpClient
 import linemast.wire.HttpRequest
@@ -30,14 +29,14 @@
     private const val JOB = "req-000001"
 
     fun run(): Int {
-        val selector = ActorSelectorManager(singleThread("selector"))
-        runBlocking(singleThread("main")) {
+        val loop = EventLoop()
+        loop.run {
             val outside = freeAddress()
             val settings = settings(outside)
             val store = RehearsalStore()
-            launch { HttpServer(selector, outside, 64, store::answer).serve(this) }
-            launch { Controller(settings, Policy(), selector).run() }
-            play(HttpClient(selector, settings.serveOn, 4))
+            launch { HttpServer(loop, outside, 64, store::answer).serve(this) }
+            launch { Controller(settings, Policy(), loop).run() }
+            play(HttpClient(loop, settings.serveOn, 4))
             coroutineContext.cancelChildren()
         }
         return 0
--- a/src/main/kotlin/linemast/cloud/CloudClient.kt
+++ b/src/main/kotlin/linemast/cloud/CloudClient.kt
@@ -1,12 +1,12 @@
 package linemast.cloud
 
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.delay
 import linemast.settings.CloudLimits
 import linemast.state.TokenBucket
 import linemast.wire.Address
 import linemast.wire.Cbor
 import linemast.wire.Clock
+import linemast.wire.EventLoop
 import linemast.wire.Fields
 import linemast.wire.HttpClient
 import linemast.wire.HttpReply
@@ -50,12 +50,12 @@
 }
 
 class CloudClient(
-    selector: SelectorManager,
+    loop: EventLoop,
     address: Address,
     limits: CloudLimits,
     private val clock: Clock,
 ) : Cloud {
-    private val http = HttpClient(selector, address, MAX_CALLS)
+    private val http = HttpClient(loop, address, MAX_CALLS)
     private val tokens = TokenBucket(limits.rps * USED_SHARE, limits.rps * USED_SHARE, limits.rps * LIST_RESERVE)
 
     override suspend fun types(): List<MachineType> =
--- a/src/main/kotlin/linemast/peers/PeerLinks.kt
+++ b/src/main/kotlin/linemast/peers/PeerLinks.kt
@@ -1,22 +1,17 @@
 package linemast.peers
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import linemast.settings.Settings
 import linemast.wire.Address
+import linemast.wire.Connection
+import linemast.wire.EventLoop
+import linemast.wire.Listener
+import linemast.wire.connect
 import okio.Buffer
 import org.slf4j.LoggerFactory
 
@@ -27,49 +22,28 @@
  */
 class PeerLinks(
     private val settings: Settings,
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
     private val frame: () -> PeerFrame,
     private val onFrame: (PeerFrame) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(PeerLinks::class.java)
-    private var accepted = 0
 
     suspend fun run(scope: CoroutineScope) {
         for (member in settings.members) scope.launch { push(member.peerAddr) }
-        val address = settings.peerListen
-        val listener = aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
-        listener.use {
-            while (scope.isActive) {
-                val socket = listener.accept()
-                if (accepted >= MAX_ACCEPTED) {
-                    socket.close()
-                    continue
-                }
-                accepted++
-                scope.launch {
-                    try {
-                        quietly { receive(socket) }
-                    } finally {
-                        accepted--
-                        socket.close()
-                    }
-                }
-            }
-        }
+        Listener(loop, settings.peerListen, MAX_ACCEPTED).serve(scope) { connection -> quietly { receive(connection) } }
     }
 
     private suspend fun push(address: Address) {
         while (true) {
             quietly {
-                aSocket(selector).tcp().connect(address.host, address.port).use { socket ->
-                    val output = socket.openWriteChannel(autoFlush = false)
+                withTimeout(SEND_MILLIS) { connect(loop, address) }.use { connection ->
                     while (true) {
-                        val bytes = frame().encode().readByteArray()
-                        withTimeout(SEND_MILLIS) {
-                            output.writeInt(bytes.size)
-                            output.writeByteArray(bytes)
-                            output.flush()
+                        val message = Buffer().apply {
+                            val body = frame().encode()
+                            writeInt(body.size.toInt())
+                            writeAll(body)
                         }
+                        withTimeout(SEND_MILLIS) { connection.write(message.readByteArray()) }
                         delay(PERIOD_MILLIS)
                     }
                 }
@@ -78,12 +52,11 @@
         }
     }
 
-    private suspend fun receive(socket: Socket) {
-        val input = socket.openReadChannel()
+    private suspend fun receive(connection: Connection) {
         while (true) {
-            val length = input.readInt()
+            val length = Buffer().write(connection.read(Int.SIZE_BYTES)).readInt()
             if (length !in 1..PeerFrame.MAX_BYTES) return
-            onFrame(PeerFrame.decode(Buffer().write(input.readByteArray(length))))
+            onFrame(PeerFrame.decode(Buffer().write(connection.read(length))))
         }
     }
 
@@ -91,7 +64,7 @@
     private suspend fun quietly(action: suspend () -> Unit) {
         try {
             action()
-        } catch (e: kotlinx.coroutines.TimeoutCancellationException) {
+        } catch (e: TimeoutCancellationException) {
             log.debug("peer link: {}", e.toString())
         } catch (e: CancellationException) {
             throw e
--- a/src/main/kotlin/linemast/state/StoreClient.kt
+++ b/src/main/kotlin/linemast/state/StoreClient.kt
@@ -1,11 +1,11 @@
 package linemast.state
 
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.delay
 import linemast.settings.StateLimits
 import linemast.wire.Address
 import linemast.wire.Cbor
 import linemast.wire.Clock
+import linemast.wire.EventLoop
 import linemast.wire.Fields
 import linemast.wire.HttpClient
 import linemast.wire.HttpReply
@@ -15,15 +15,15 @@
 
 /** The state service over HTTP, within this controller's part of the service's limits. */
 class StoreClient(
-    selector: SelectorManager,
+    loop: EventLoop,
     address: Address,
     limits: StateLimits,
     controllers: Int,
     private val clock: Clock,
 ) : Store {
-    private val calls = HttpClient(selector, address, MAX_CALLS, MAX_REPLY_BYTES)
-    private val renewals = HttpClient(selector, address, 1)
-    private val follows = HttpClient(selector, address, MAX_FOLLOWS, MAX_REPLY_BYTES)
+    private val calls = HttpClient(loop, address, MAX_CALLS, MAX_REPLY_BYTES)
+    private val renewals = HttpClient(loop, address, 1)
+    private val follows = HttpClient(loop, address, MAX_FOLLOWS, MAX_REPLY_BYTES)
     private val requests = bucket(limits.rps / controllers)
     private val changes = bucket(limits.writeRps / controllers)
 
--- a/src/main/kotlin/linemast/wire/Http.kt
+++ b/src/main/kotlin/linemast/wire/Http.kt
@@ -1,11 +1,13 @@
 package linemast.wire
 
 import io.ktor.http.cio.HttpHeadersMap
+import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.decodeChunked
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.readRemaining
+import io.ktor.utils.io.writeByteArray
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.io.readByteArray
 
 /** What the protocol page allows for a request body, and for a response to workers and users. */
@@ -30,29 +32,59 @@
     }
 }
 
+/** The bytes of the next message's first line and headers; null when the other side has ended instead. */
+internal suspend fun readHead(connection: Connection): ByteArray? {
+    var searched = 0
+    while (true) {
+        val end = connection.indexOf(HEAD_END, searched)
+        if (end >= 0) return connection.take(end + HEAD_END.size)
+        if (connection.available > MAX_HEAD_BYTES) throw MalformedException("the head is too long")
+        searched = (connection.available - HEAD_END.size).coerceAtLeast(0)
+        if (!connection.fill()) return null
+    }
+}
+
 /** The body announced by [headers]; null if it is larger than [limit] or its length makes no sense. */
-internal suspend fun readBody(input: ByteReadChannel, headers: HttpHeadersMap, limit: Int): ByteArray? {
+internal suspend fun readBody(connection: Connection, headers: HttpHeadersMap, limit: Int): ByteArray? {
     val coding = headers["Transfer-Encoding"]
-    if (coding != null) {
-        if (!coding.toString().equals("chunked", ignoreCase = true)) return null
-        return coroutineScope {
-            val decoded = decodeChunked(input, -1L)
-            val bytes = decoded.channel.readRemaining(limit + 1L).readByteArray()
-            if (bytes.size > limit) {
-                decoded.channel.cancel(null)
-                null
-            } else {
-                bytes
-            }
-        }
-    }
+    if (coding != null) return if (coding.toString().equals("chunked", ignoreCase = true)) readChunked(connection, limit) else null
     val announced = headers["Content-Length"]?.toString() ?: return ByteArray(0)
     val length = announced.toLongOrNull() ?: return null
     if (length < 0 || length > limit) return null
-    return if (length == 0L) ByteArray(0) else input.readByteArray(length.toInt())
+    return connection.read(length.toInt())
+}
+
+private suspend fun readChunked(connection: Connection, limit: Int): ByteArray? = coroutineScope {
+    val raw = ByteChannel(autoFlush = true)
+    val feed = launch {
+        do raw.writeByteArray(connection.take(connection.available)) while (connection.fill())
+        raw.close()
+    }
+    val decoded = decodeChunked(raw, -1L)
+    val bytes = decoded.channel.readRemaining(limit + 1L).readByteArray()
+    feed.cancel()
+    if (bytes.size > limit) {
+        decoded.channel.cancel(null)
+        null
+    } else {
+        bytes
+    }
+}
+
+/** The bytes of a whole message, so that it leaves in one call. */
+internal inline fun message(write: RequestResponseBuilder.() -> Unit): ByteArray {
+    val builder = RequestResponseBuilder()
+    return try {
+        builder.write()
+        builder.build().readByteArray()
+    } finally {
+        builder.release()
+    }
 }
 
 internal fun asksToClose(headers: HttpHeadersMap): Boolean =
     headers["Connection"]?.toString()?.equals("close", ignoreCase = true) == true
 
 internal const val CBOR_TYPE = "application/cbor"
+private const val MAX_HEAD_BYTES = 8 * 1024
+private val HEAD_END = "\r\n\r\n".encodeToByteArray()
--- a/src/main/kotlin/linemast/wire/HttpClient.kt
+++ b/src/main/kotlin/linemast/wire/HttpClient.kt
@@ -1,16 +1,8 @@
 package linemast.wire
 
 import io.ktor.http.HttpMethod
-import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.parseResponse
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
@@ -31,17 +23,15 @@
  * taken for the answer to another request.
  */
 class HttpClient(
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
     private val address: Address,
     maxConnections: Int,
     private val maxReplyBytes: Int = DEFAULT_MAX_REPLY,
 ) {
-    private class Connection(val socket: Socket, val input: ByteReadChannel, val output: ByteWriteChannel) {
-        var idleSinceMicros = 0L
-    }
+    private class Idle(val connection: Connection, val sinceMicros: Long)
 
     private val permits = Semaphore(maxConnections)
-    private val idle = ArrayDeque<Connection>()
+    private val idle = ArrayDeque<Idle>()
 
     suspend fun call(method: String, path: String, body: ByteArray?, timeoutMicros: Long): HttpReply {
         val reply = withTimeoutOrNull(timeoutMicros / 1_000) {
@@ -52,16 +42,17 @@
 
     private suspend fun exchange(method: String, path: String, body: ByteArray?): HttpReply {
         val connection = try {
-            takeIdle() ?: open()
+            takeIdle() ?: connect(loop, address)
         } catch (e: IOException) {
             throw NoAnswerException("$address: ${e.message}")
         }
         var reusable = false
         try {
-            send(connection.output, method, path, body)
-            val head = parseResponse(connection.input) ?: throw NoAnswerException("$address: closed the connection")
+            connection.write(request(method, path, body))
+            val head = readHead(connection)?.let { parseResponse(ByteReadChannel(it)) }
+                ?: throw NoAnswerException("$address: closed the connection")
             try {
-                val bytes = readBody(connection.input, head.headers, maxReplyBytes)
+                val bytes = readBody(connection, head.headers, maxReplyBytes)
                     ?: throw NoAnswerException("$address: reply too large or without length")
                 reusable = !asksToClose(head.headers)
                 return HttpReply(head.status, bytes)
@@ -75,45 +66,28 @@
         } catch (e: Exception) {
             throw NoAnswerException("$address: $e")
         } finally {
-            if (reusable) {
-                connection.idleSinceMicros = SteadyClock.nowMicros()
-                idle.addLast(connection)
-            } else {
-                connection.socket.close()
-            }
+            if (reusable) idle.addLast(Idle(connection, SteadyClock.nowMicros())) else connection.close()
         }
     }
 
     private fun takeIdle(): Connection? {
         while (true) {
-            val connection = idle.removeLastOrNull() ?: return null
-            val fresh = SteadyClock.nowMicros() - connection.idleSinceMicros < MAX_IDLE_MICROS
-            if (fresh && !connection.input.isClosedForRead) return connection
-            connection.socket.close()
+            val kept = idle.removeLastOrNull() ?: return null
+            val fresh = SteadyClock.nowMicros() - kept.sinceMicros < MAX_IDLE_MICROS
+            if (fresh && kept.connection.isAtRest()) return kept.connection
+            kept.connection.close()
         }
     }
 
-    private suspend fun open(): Connection {
-        val socket = aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true }
-        return Connection(socket, socket.openReadChannel(), socket.openWriteChannel(autoFlush = false))
-    }
-
-    private suspend fun send(output: ByteWriteChannel, method: String, path: String, body: ByteArray?) {
-        val builder = RequestResponseBuilder()
-        try {
-            builder.requestLine(HttpMethod.parse(method), path, "HTTP/1.1")
-            builder.headerLine("Host", address.toString())
-            if (body != null) {
-                builder.headerLine("Content-Type", CBOR_TYPE)
-                builder.headerLine("Content-Length", body.size.toString())
-            }
-            builder.emptyLine()
-            if (body != null) builder.bytes(body)
-            output.writePacket(builder.build())
-            output.flush()
-        } finally {
-            builder.release()
+    private fun request(method: String, path: String, body: ByteArray?): ByteArray = message {
+        requestLine(HttpMethod.parse(method), path, "HTTP/1.1")
+        headerLine("Host", address.toString())
+        if (body != null) {
+            headerLine("Content-Type", CBOR_TYPE)
+            headerLine("Content-Length", body.size.toString())
         }
+        emptyLine()
+        if (body != null) bytes(body)
     }
 
     private companion object {
--- a/src/main/kotlin/linemast/wire/HttpServer.kt
+++ b/src/main/kotlin/linemast/wire/HttpServer.kt
@@ -1,20 +1,11 @@
 package linemast.wire
 
-import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.parseRequest
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.isActive
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
 /**
@@ -24,62 +15,55 @@
  * the controller needs for the store, the cloud and its peers.
  */
 class HttpServer(
-    private val selector: SelectorManager,
-    private val address: Address,
-    private val maxConnections: Int,
+    loop: EventLoop,
+    address: Address,
+    maxConnections: Int,
     private val handler: suspend (HttpRequest) -> HttpResponse,
 ) {
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
-    private var open = 0
+    private val listener = Listener(loop, address, maxConnections)
+
+    /** Connections by when they last began or ended a request: one sweep for all is cheaper than a timer for each. */
+    private val lastUsedMicros = HashMap<Connection, Long>()
 
     suspend fun serve(scope: CoroutineScope, onListening: () -> Unit = {}) {
-        val listener = aSocket(selector).tcp().bind(address.host, address.port) {
-            reuseAddress = true
-            backlogSize = BACKLOG
-        }
-        onListening()
-        listener.use {
-            while (scope.isActive) {
-                val socket = listener.accept()
-                if (open >= maxConnections) {
-                    socket.close()
-                    continue
-                }
-                open++
-                scope.launch {
-                    try {
-                        serveConnection(socket)
-                    } catch (e: CancellationException) {
-                        throw e
-                    } catch (e: Exception) {
-                        log.debug("connection ended: {}", e.toString())
-                    } finally {
-                        open--
-                        socket.close()
-                    }
-                }
+        scope.launch { sweep() }
+        listener.serve(scope, onListening) { connection ->
+            try {
+                do lastUsedMicros[connection] = SteadyClock.nowMicros() while (serveRequest(connection))
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                log.debug("connection ended: {}", e.toString())
+            } finally {
+                lastUsedMicros.remove(connection)
             }
         }
     }
 
-    private suspend fun serveConnection(socket: Socket) {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel(autoFlush = false)
+    /** Closes what is idle, and what sends its request too slowly. */
+    private suspend fun sweep() {
         while (true) {
-            val goOn = withTimeoutOrNull(IDLE_MILLIS) { serveRequest(input, output) } ?: false
-            if (!goOn) break
+            delay(SWEEP_MILLIS)
+            val latest = SteadyClock.nowMicros() - IDLE_MICROS
+            lastUsedMicros.filterValues { it < latest }.keys.forEach(Connection::close)
         }
     }
 
     /** One request and its response; false when the connection is to be closed. */
-    private suspend fun serveRequest(input: ByteReadChannel, output: ByteWriteChannel): Boolean {
+    private suspend fun serveRequest(connection: Connection): Boolean {
         val head = try {
-            parseRequest(input) ?: return false
+            parseRequest(ByteReadChannel(readHead(connection) ?: return false))
         } catch (e: CancellationException) {
             throw e
+        } catch (e: java.io.IOException) {
+            throw e
         } catch (e: Exception) {
             log.debug("malformed request: {}", e.toString())
-            respond(output, HttpResponse(400), close = true)
+            null
+        }
+        if (head == null) {
+            respond(connection, HttpResponse(400), close = true)
             return false
         }
         val close: Boolean
@@ -88,45 +72,44 @@
             close = asksToClose(head.headers)
             val method = head.method.value
             val uri = head.uri.toString()
-            val body = readBody(input, head.headers, MAX_BODY_BYTES)
+            val body = readBody(connection, head.headers, MAX_BODY_BYTES)
             request = body?.let { HttpRequest(method, uri.substringBefore('?'), uri.substringAfter('?', ""), it) }
         } finally {
             head.release()
         }
         if (request == null) {
-            respond(output, HttpResponse(400), close = true)
+            respond(connection, HttpResponse(400), close = true)
             return false
         }
-        val response = try {
-            handler(request)
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: MalformedException) {
-            log.debug("{} {} is malformed: {}", request.method, request.path, e.message)
-            HttpResponse(400)
-        } catch (e: Exception) {
-            log.error("{} {} failed", request.method, request.path, e)
-            HttpResponse.unavailable()
-        }
-        respond(output, if (response.stillValid()) response else HttpResponse.unavailable(), close)
+        val response = answer(request)
+        respond(connection, if (response.stillValid()) response else HttpResponse.unavailable(), close)
         return !close
     }
 
-    private suspend fun respond(output: ByteWriteChannel, response: HttpResponse, close: Boolean) {
-        val builder = RequestResponseBuilder()
-        try {
-            builder.responseLine("HTTP/1.1", response.status, reason(response.status))
-            builder.headerLine("Content-Type", CBOR_TYPE)
-            builder.headerLine("Content-Length", response.body.size.toString())
-            response.retryAfterSeconds?.let { builder.headerLine("Retry-After", it.toString()) }
-            if (close) builder.headerLine("Connection", "close")
-            builder.emptyLine()
-            builder.bytes(response.body)
-            output.writePacket(builder.build())
-            output.flush()
-        } finally {
-            builder.release()
-        }
+    private suspend fun answer(request: HttpRequest): HttpResponse = try {
+        handler(request)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: MalformedException) {
+        log.debug("{} {} is malformed: {}", request.method, request.path, e.message)
+        HttpResponse(400)
+    } catch (e: Exception) {
+        log.error("{} {} failed", request.method, request.path, e)
+        HttpResponse.unavailable()
+    }
+
+    private suspend fun respond(connection: Connection, response: HttpResponse, close: Boolean) {
+        connection.write(
+            message {
+                responseLine("HTTP/1.1", response.status, reason(response.status))
+                headerLine("Content-Type", CBOR_TYPE)
+                headerLine("Content-Length", response.body.size.toString())
+                response.retryAfterSeconds?.let { headerLine("Retry-After", it.toString()) }
+                if (close) headerLine("Connection", "close")
+                emptyLine()
+                bytes(response.body)
+            },
+        )
     }
 
     private fun reason(status: Int) = when (status) {
@@ -142,7 +125,7 @@
     }
 
     private companion object {
-        const val BACKLOG = 256
-        const val IDLE_MILLIS = 120_000L
+        const val SWEEP_MILLIS = 15_000L
+        const val IDLE_MICROS = 120 * SECOND_MICROS
     }
 }
--- /dev/null
+++ b/src/main/kotlin/linemast/wire/Listener.kt
@@ -0,0 +1,44 @@
+package linemast.wire
+
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+
+/** Accepts connections on one address, a routine for each, at most [maxConnections] at a time. */
+class Listener(private val loop: EventLoop, private val address: Address, private val maxConnections: Int) {
+    private var open = 0
+
+    suspend fun serve(scope: CoroutineScope, onListening: () -> Unit = {}, onConnection: suspend (Connection) -> Unit) {
+        val listener = aSocket(loop).tcp().bind(address.host, address.port) {
+            reuseAddress = true
+            backlogSize = BACKLOG
+        }
+        onListening()
+        listener.use {
+            while (scope.isActive) {
+                val socket = listener.accept()
+                if (open >= maxConnections) {
+                    socket.close()
+                    continue
+                }
+                open++
+                scope.launch {
+                    try {
+                        Connection(socket, loop).use { onConnection(it) }
+                    } finally {
+                        open--
+                    }
+                }
+            }
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 256
+    }
+}
+
+/** Opens a connection to [address]. */
+suspend fun connect(loop: EventLoop, address: Address): Connection =
+    Connection(aSocket(loop).tcp().connect(address.host, address.port) { noDelay = true }, loop)
--- /dev/null
+++ b/src/test/kotlin/linemast/wire/EventLoopTest.kt
@@ -0,0 +1,81 @@
+package linemast.wire
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.junit.jupiter.api.Assertions.assertArrayEquals
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.concurrent.thread
+import kotlin.random.Random
+
+@Timeout(60)
+class EventLoopTest {
+    @Test
+    fun `timers fire in their order and cancelled ones never`() {
+        val fired = ArrayList<Int>()
+        val left = EventLoop().use { loop ->
+            loop.run {
+                coroutineScope {
+                    for (millis in listOf(30, 10, 20)) launch { delay(millis.toLong()).also { fired += millis } }
+                    val cancelled = launch { delay(15).also { fired += 15 } }
+                    cancelled.cancel()
+                    withTimeoutOrNull(5) { delay(10_000) }
+                }
+            }
+        }
+        assertNull(left)
+        assertEquals(listOf(10, 20, 30), fired)
+    }
+
+    @Test
+    fun `another thread can resume a routine`() {
+        val got = EventLoop().use { loop ->
+            loop.run {
+                val word = CompletableDeferred<String>()
+                thread { word.complete("from elsewhere") }
+                word.await()
+            }
+        }
+        assertEquals("from elsewhere", got)
+    }
+
+    /** More than the sockets' buffers hold, so that both sides have to wait for each other. */
+    @Test
+    fun `large messages pass whole in both directions at once`() {
+        val address = Address("127.0.0.1", ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort })
+        val sent = Random(SEED).nextBytes(12_000_000)
+        println("seed $SEED")
+        EventLoop().use { loop ->
+            loop.run {
+                val listening = CompletableDeferred<Unit>()
+                launch {
+                    Listener(loop, address, 4).serve(this, { listening.complete(Unit) }) { connection ->
+                        repeat(sent.size / CHUNK) { connection.write(connection.read(CHUNK)) }
+                    }
+                }
+                listening.await()
+                connect(loop, address).use { connection ->
+                    launch { connection.write(sent) }
+                    assertArrayEquals(sent, connection.read(sent.size))
+                    assertTrue(runCatching { connection.read(1) }.exceptionOrNull() is IOException)
+                }
+                coroutineContext.cancelChildren()
+            }
+        }
+    }
+
+    private companion object {
+        const val SEED = 7
+        const val CHUNK = 100_000
+    }
+}
--- a/src/test/kotlin/linemast/wire/HttpServerTest.kt
+++ b/src/test/kotlin/linemast/wire/HttpServerTest.kt
@@ -1,11 +1,10 @@
 package linemast.wire
 
-import io.ktor.network.selector.ActorSelectorManager
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -48,11 +47,10 @@
 
     private fun <T> serve(talk: (Int) -> T): T {
         val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-        val selector = ActorSelectorManager(Dispatchers.IO)
-        return selector.use {
-            runBlocking(Dispatchers.IO) {
+        return EventLoop().use { loop ->
+            loop.run {
                 val listening = CompletableDeferred<Unit>()
-                val server = HttpServer(it, Address("127.0.0.1", port), 10) { request ->
+                val server = HttpServer(loop, Address("127.0.0.1", port), 10) { request ->
                     when (request.path) {
                         "/malformed" -> throw MalformedException("test")
                         "/broken" -> error("test")
@@ -61,7 +59,7 @@
                 }
                 launch { server.serve(this) { listening.complete(Unit) } }
                 listening.await()
-                talk(port).also { coroutineContext.cancelChildren() }
+                withContext(Dispatchers.IO) { talk(port) }.also { coroutineContext.cancelChildren() }
             }
         }
     }
