--- a/src/main/kotlin/linemast/app/Controller.kt
+++ b/src/main/kotlin/linemast/app/Controller.kt
@@ -24,14 +24,16 @@
 
     suspend fun run() = coroutineScope {
         val clock = SteadyClock
+        val store = StoreClient(loop, settings.state, settings.stateLimits, settings.controllers, clock)
         val node = Node(
             settings = settings,
             policy = policy,
-            store = StoreClient(loop, settings.state, settings.stateLimits, settings.controllers, clock),
+            store = store,
             cloud = CloudClient(loop, settings.cloud, settings.cloudLimits, clock),
             clock = clock,
             wallMicros = { System.currentTimeMillis() * 1_000 },
             scope = this,
+            onLead = store::share,
         )
         var handler: suspend (HttpRequest) -> HttpResponse = node::route
         if (log.isDebugEnabled) {
--- a/src/main/kotlin/linemast/app/Node.kt
+++ b/src/main/kotlin/linemast/app/Node.kt
@@ -42,6 +42,8 @@
     private val clock: Clock,
     private val wallMicros: () -> Long,
     private val scope: CoroutineScope,
+    /** Told when this controller begins to lead and when it ends. */
+    private val onLead: (Boolean) -> Unit = {},
 ) {
     private val log = LoggerFactory.getLogger(Node::class.java)
     private val view = LeaderView()
@@ -77,9 +79,11 @@
         this.dutyScope = dutyScope
         duty = next
         dutyScope.launch { next.run() }
+        onLead(true)
     }
 
     private fun stopDuty() {
+        onLead(false)
         duty = null
         dutyScope?.cancel()
         dutyScope = null
--- a/src/main/kotlin/linemast/cloud/CloudClient.kt
+++ b/src/main/kotlin/linemast/cloud/CloudClient.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import linemast.settings.CloudLimits
+import linemast.state.Priority
 import linemast.state.TokenBucket
 import linemast.wire.Address
 import linemast.wire.Cbor
@@ -56,17 +57,17 @@
     private val clock: Clock,
 ) : Cloud {
     private val http = HttpClient(loop, address, MAX_CALLS)
-    private val tokens = TokenBucket(limits.rps * USED_SHARE, limits.rps * USED_SHARE, limits.rps * LIST_RESERVE)
+    private val tokens = TokenBucket(limits.rps * USED_SHARE)
 
     override suspend fun types(): List<MachineType> =
-        read(call("GET", "/machine_types", null, vital = true)) { MachineType.readAll(it) }
+        read(call("GET", "/machine_types", null, Priority.VITAL)) { MachineType.readAll(it) }
 
     override suspend fun machines(): List<ListedMachine> {
         val all = ArrayList<ListedMachine>()
         var after = ""
         while (true) {
             val path = "/machines?limit=$PAGE" + if (after.isEmpty()) "" else "&after=$after"
-            val truncated = read(call("GET", path, null, vital = false)) { page ->
+            val truncated = read(call("GET", path, null, Priority.ORDINARY)) { page ->
                 page.children("rigs").mapTo(all, ::machine)
                 page.flagOrNull("truncated") ?: false
             }
@@ -84,7 +85,7 @@
             "number" to request.number,
         )
         val reply = try {
-            call("POST", "/machines", Cbor.encode(body), vital = true)
+            call("POST", "/machines", Cbor.encode(body), Priority.VITAL)
         } catch (e: CloudException) {
             return RentResult.Unknown
         }
@@ -101,7 +102,7 @@
 
     override suspend fun giveBack(names: List<String>) {
         for (part in names.chunked(MAX_RETURN)) {
-            val reply = call("POST", "/machines/return", Cbor.encode(mapOf("rigs" to part)), vital = true)
+            val reply = call("POST", "/machines/return", Cbor.encode(mapOf("rigs" to part)), Priority.VITAL)
             if (reply.status != 200) throw CloudException("the cloud answered ${reply.status} to a return")
         }
     }
@@ -116,9 +117,9 @@
         ageMicros = fields.microsOrNull("age_s") ?: 0L,
     )
 
-    private suspend fun call(method: String, path: String, body: ByteArray?, vital: Boolean): HttpReply {
-        while (!tokens.tryTake(1, vital, clock.nowMicros())) {
-            delay(tokens.waitMicros(1, vital, clock.nowMicros()) / 1_000 + 1)
+    private suspend fun call(method: String, path: String, body: ByteArray?, priority: Priority): HttpReply {
+        while (!tokens.tryTake(1, priority, clock.nowMicros())) {
+            delay(tokens.waitMicros(1, priority, clock.nowMicros()) / 1_000 + 1)
         }
         return try {
             http.call(method, path, body, CALL_TIMEOUT_MICROS)
@@ -141,7 +142,6 @@
         const val MAX_RETURN = 100
         const val PAGE = 500
         const val USED_SHARE = 0.8
-        const val LIST_RESERVE = 0.3
         const val CALL_TIMEOUT_MICROS = 5 * SECOND_MICROS
     }
 }
--- a/src/main/kotlin/linemast/jobs/JobDesk.kt
+++ b/src/main/kotlin/linemast/jobs/JobDesk.kt
@@ -8,6 +8,7 @@
 import linemast.state.CommitResult
 import linemast.state.Condition
 import linemast.state.Item
+import linemast.state.Priority
 import linemast.state.Store
 import linemast.state.StoreException
 import linemast.state.Write
@@ -85,6 +86,7 @@
                 Write.Put(JobKeys.verdict(spec.id), VerdictRecord(Verdict.OPEN, spec.pieces).toMap()),
                 Write.Put(JobKeys.open(spec.id), record.toMap()),
             ),
+            Priority.INTAKE,
         )
         return when (result) {
             is CommitResult.Applied -> HttpResponse.of(201, "name_id" to spec.id, "status" to "pending")
@@ -103,10 +105,10 @@
     private suspend fun cancel(id: String): HttpResponse {
         if (!JobSpec.isId(id)) return HttpResponse(404)
         repeat(CANCEL_TRIES) {
-            val item = finals[id]?.let { return known(id, it) } ?: store.get(JobKeys.verdict(id)) ?: return HttpResponse(404)
+            val item = finals[id]?.let { return known(id, it) } ?: store.get(JobKeys.verdict(id), Priority.INTAKE) ?: return HttpResponse(404)
             val verdict = remember(id, stored { VerdictRecord.read(item.value) })
             if (verdict.verdict.isFinal) return known(id, verdict)
-            val open = store.get(JobKeys.open(id)) ?: return@repeat
+            val open = store.get(JobKeys.open(id), Priority.INTAKE) ?: return@repeat
             val withdrawn = VerdictRecord(Verdict.WITHDRAWN, verdict.pieces)
             val result = store.commit(
                 listOf(Condition(item.key, item.stamp), Condition(open.key, open.stamp)),
@@ -114,6 +116,7 @@
                     Write.Put(item.key, withdrawn.toMap()),
                     Write.Put(open.key, stored { OpenRecord.read(open) }.with(withdrawn = true).toMap()),
                 ),
+                Priority.INTAKE,
             )
             if (result is CommitResult.Applied) return known(id, remember(id, withdrawn))
         }
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -32,6 +32,7 @@
 import linemast.state.Condition
 import linemast.state.FollowResult
 import linemast.state.Item
+import linemast.state.Priority
 import linemast.state.Store
 import linemast.state.StoreException
 import linemast.state.Write
@@ -252,7 +253,8 @@
             )
         }
         scope.launch {
-            attempt { store.commit(listOf(fence), listOf(Write.Put(PLAN_KEY, mapOf("at_us" to wallMicros(), "plans" to shown)))) }
+            val record = Write.Put(PLAN_KEY, mapOf("at_us" to wallMicros(), "plans" to shown))
+            attempt { store.commit(listOf(fence), listOf(record), Priority.BACKGROUND) }
         }
     }
 
@@ -337,12 +339,13 @@
             while (true) {
                 val stamp = job.stamp
                 val result = attempt {
-                    val item = store.get(JobKeys.open(job.id)) ?: return@attempt null
+                    val item = store.get(JobKeys.open(job.id), Priority.INTAKE) ?: return@attempt null
                     val record = OpenRecord.read(item)
                     if (record.withdrawn) return@attempt null
                     store.commit(
                         listOf(fence, Condition(item.key, item.stamp)),
                         listOf(Write.Put(item.key, record.with(opened = true).toMap())),
+                        Priority.INTAKE,
                     )
                 }
                 when (result) {
@@ -404,16 +407,17 @@
         listOf(fence, Condition(JobKeys.open(job.id), job.stamp)) +
             parts.map { Condition(JobKeys.donePart(job.id, it), job.partStamps[it] ?: 0L) },
         parts.mapIndexed { at, part -> Write.Put(JobKeys.donePart(job.id, part), mapOf("bits" to bits[at])) },
+        Priority.BACKGROUND,
     )
 
     private suspend fun commitDone(job: Job): CommitResult {
-        val verdict = store.get(JobKeys.verdict(job.id)) ?: return CommitResult.Conflict(emptyList())
+        val verdict = store.get(JobKeys.verdict(job.id), Priority.INTAKE) ?: return CommitResult.Conflict(emptyList())
         if (VerdictRecord.read(verdict.value).verdict.isFinal) return CommitResult.Conflict(emptyList())
         val writes = ArrayList<Write>()
         writes += Write.Put(verdict.key, VerdictRecord(Verdict.DONE, job.spec.pieces).toMap())
         writes += Write.Drop(JobKeys.open(job.id))
-        for (part in 0 until DoneSet.parts(job.spec.pieces)) writes += Write.Drop(JobKeys.donePart(job.id, part))
-        return store.commit(listOf(fence, Condition(verdict.key, verdict.stamp)), writes)
+        for (part in job.partStamps.keys) writes += Write.Drop(JobKeys.donePart(job.id, part))
+        return store.commit(listOf(fence, Condition(verdict.key, verdict.stamp)), writes, Priority.INTAKE)
     }
 
     /** The job's record is not what it was taken for: most likely its user has cancelled it. */
@@ -433,7 +437,7 @@
         scope.launch {
             val writes = ArrayList<Write>()
             writes += Write.Drop(JobKeys.open(job.id))
-            for (part in 0 until DoneSet.parts(job.spec.pieces)) writes += Write.Drop(JobKeys.donePart(job.id, part))
+            for (part in job.partStamps.keys) writes += Write.Drop(JobKeys.donePart(job.id, part))
             val result = attempt { store.commit(listOf(fence), writes) }
             events.send {
                 job.writingDone = false
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -353,14 +353,17 @@
         settle(nowMicros)
         val unrecorded = machines.values.filter { !it.onRecord && it.reportedMicros > 0 }
         if (unrecorded.isNotEmpty()) effects.storeMachines(unrecorded)
-        for (job in jobs.values.toList()) follow(job)
+        for (job in jobs.values.toList()) follow(job, nowMicros)
         if (dirty && nowMicros - lastPassMicros >= PASS_MICROS) pass(nowMicros)
     }
 
-    private fun follow(job: Job) {
+    private fun follow(job: Job, nowMicros: Long) {
         if (job.withdrawn) {
             if (settled && job.placements.isEmpty() && !job.writingDone) effects.dropWithdrawn(job)
         } else if (!job.finished && !job.writingDone && !job.dirtyParts.isEmpty) {
+            // Progress is stored now and then: each write takes from what submissions and ends of jobs need.
+            if (!job.isDone && nowMicros < job.doneStoredMicros + PROGRESS_MICROS) return
+            job.doneStoredMicros = nowMicros
             effects.storeDone(job)
         }
     }
@@ -423,6 +426,7 @@
         const val LEASE_MARGIN_MICROS = 300_000L
         const val PASS_MICROS = 100_000L
         const val MAX_ORDERS = 300
+        const val PROGRESS_MICROS = 5_000_000L
         const val FORGET_MICROS = 30_000_000L
         const val BACK_OFF_MICROS = 4_000_000L
         const val MAX_BACK_OFF_MICROS = 120_000_000L
--- a/src/main/kotlin/linemast/state/Store.kt
+++ b/src/main/kotlin/linemast/state/Store.kt
@@ -1,6 +1,7 @@
 package linemast.state
 
 import linemast.wire.Fields
+import linemast.wire.SECOND_MICROS
 
 /** A key's value with the revision of its latest change. */
 class Item(val key: String, val value: Fields, val stamp: Long)
@@ -44,12 +45,25 @@
  */
 class StoreException(message: String, val mayHaveRun: Boolean) : Exception(message)
 
-/** How urgently a call needs its token. */
-enum class Priority { VITAL, ORDINARY }
+/**
+ * How urgently a call needs its token: it leaves [keptShare] of the tokens to more urgent ones, and gives up when
+ * it would have to wait for longer than [patienceMicros].
+ */
+enum class Priority(val keptShare: Double, val patienceMicros: Long) {
+    /** What the lead hangs on. */
+    VITAL(0.0, 2 * SECOND_MICROS),
+
+    /** Submissions, cancellations, and the start and end of jobs. */
+    INTAKE(0.1, 1_500_000),
+    ORDINARY(0.3, 1_500_000),
+
+    /** What is as good a little later. */
+    BACKGROUND(0.5, 0),
+}
 
 /** The state service, as much of it as the controllers use. Tests put a stand-in behind it. */
 interface Store {
-    suspend fun get(key: String): Item?
+    suspend fun get(key: String, priority: Priority = Priority.ORDINARY): Item?
 
     suspend fun list(under: String, after: String?): Page
 
--- a/src/main/kotlin/linemast/state/StoreClient.kt
+++ b/src/main/kotlin/linemast/state/StoreClient.kt
@@ -17,18 +17,28 @@
 class StoreClient(
     loop: EventLoop,
     address: Address,
-    limits: StateLimits,
-    controllers: Int,
+    private val limits: StateLimits,
+    private val controllers: Int,
     private val clock: Clock,
 ) : Store {
     private val calls = HttpClient(loop, address, MAX_CALLS, MAX_REPLY_BYTES)
     private val renewals = HttpClient(loop, address, 1)
     private val follows = HttpClient(loop, address, MAX_FOLLOWS, MAX_REPLY_BYTES)
-    private val requests = bucket(limits.rps / controllers)
-    private val changes = bucket(limits.writeRps / controllers)
+    private val requests = TokenBucket(limits.rps * USED_SHARE / controllers)
+    private val changes = TokenBucket(writeRate(leads = false))
 
-    override suspend fun get(key: String): Item? {
-        val reply = call(calls, "GET", "/keys/$key", null, Priority.ORDINARY)
+    /** The leader writes more than the others; while two take themselves for it, the service may refuse a call. */
+    fun share(leads: Boolean) {
+        changes.perSecond = writeRate(leads)
+    }
+
+    private fun writeRate(leads: Boolean): Double {
+        val parts = controllers - 1 + LEADER_PARTS
+        return limits.writeRps * USED_SHARE * (if (leads) LEADER_PARTS else 1.0) / parts
+    }
+
+    override suspend fun get(key: String, priority: Priority): Item? {
+        val reply = call(calls, "GET", "/keys/$key", null, priority)
         if (reply.status == 404) return null
         return read(reply) { Item(it.text("k"), it.child("v"), it.long("stamp")) }
     }
@@ -112,10 +122,9 @@
     }
 
     private suspend fun awaitTokens(bucket: TokenBucket, count: Int, priority: Priority) {
-        val vital = priority == Priority.VITAL
-        val deadline = clock.nowMicros() + TOKEN_WAIT_MICROS
-        while (!bucket.tryTake(count, vital, clock.nowMicros())) {
-            val wait = bucket.waitMicros(count, vital, clock.nowMicros())
+        val deadline = clock.nowMicros() + priority.patienceMicros
+        while (!bucket.tryTake(count, priority, clock.nowMicros())) {
+            val wait = bucket.waitMicros(count, priority, clock.nowMicros())
             if (clock.nowMicros() + wait > deadline) throw StoreException("no token within the wait", mayHaveRun = false)
             delay(wait / 1_000 + 1)
         }
@@ -133,17 +142,14 @@
         }
     }
 
-    private fun bucket(perSecond: Double) = TokenBucket(perSecond * USED_SHARE, perSecond * USED_SHARE, perSecond * VITAL_SHARE)
-
     private companion object {
         const val MAX_CALLS = 6
         const val MAX_FOLLOWS = 3
         const val PAGE_ITEMS = 500
         const val MAX_REPLY_BYTES = 4 * 1024 * 1024
         const val USED_SHARE = 0.9
-        const val VITAL_SHARE = 0.2
+        const val LEADER_PARTS = 2.0
         const val CALL_TIMEOUT_MICROS = 2 * SECOND_MICROS
         const val FOLLOW_GRACE_MICROS = 5 * SECOND_MICROS
-        const val TOKEN_WAIT_MICROS = 3 * SECOND_MICROS
     }
 }
--- a/src/main/kotlin/linemast/workers/Job.kt
+++ b/src/main/kotlin/linemast/workers/Job.kt
@@ -26,6 +26,7 @@
     /** Parts of the done set that changed since they were last written. */
     val dirtyParts = BitSet()
     var writingDone = false
+    var doneStoredMicros = 0L
 
     /** Revisions of the stored parts: each write builds on them, so that a late one cannot undo a newer one. */
     val partStamps = HashMap<Int, Long>()
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -89,7 +89,7 @@
             expire()
         }
 
-        override suspend fun get(key: String): Item? {
+        override suspend fun get(key: String, priority: Priority): Item? {
             enter()
             return entries[key]?.let { Item(key, Cbor.decodeMap(it.value), it.stamp) }
         }
--- a/src/test/kotlin/linemast/state/TokenBucketTest.kt
+++ b/src/test/kotlin/linemast/state/TokenBucketTest.kt
@@ -1,5 +1,6 @@
 package linemast.state
 
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
@@ -11,20 +12,29 @@
         println("seed $seed")
         val random = Random(seed)
         repeat(50) {
-            val rate = random.nextInt(2, 50).toDouble()
-            val bucket = TokenBucket(rate, burst = rate, reserve = rate / 4)
+            val rate = random.nextInt(10, 50).toDouble()
+            val bucket = TokenBucket(rate)
             var taken = 0
             var now = 1_000L
             val end = now + 20_000_000
             while (now < end) {
-                if (bucket.tryTake(1, vital = random.nextInt(5) == 0, now)) taken++
+                if (bucket.tryTake(1, Priority.entries.random(random), now)) taken++
                 now += random.nextLong(20_000)
             }
             assertTrue(taken <= rate * 20 + rate + 1, "$taken at rate $rate")
-            while (bucket.tryTake(1, vital = false, now)) Unit
-            assertTrue(bucket.tryTake(1, vital = true, now))
-            val wait = bucket.waitMicros(1, vital = false, now)
-            assertTrue(bucket.tryTake(1, vital = false, now + wait))
+            while (bucket.tryTake(1, Priority.ORDINARY, now)) Unit
+            assertTrue(bucket.tryTake(1, Priority.VITAL, now))
+            val wait = bucket.waitMicros(1, Priority.ORDINARY, now)
+            assertTrue(bucket.tryTake(1, Priority.ORDINARY, now + wait))
         }
     }
+
+    /** Progress of running jobs once used up the writes, and submissions were turned away on a quiet day. */
+    @Test
+    fun `what can wait leaves most tokens to submissions`() {
+        val bucket = TokenBucket(20.0)
+        while (bucket.tryTake(1, Priority.BACKGROUND, 1)) Unit
+        repeat(8) { assertTrue(bucket.tryTake(1, Priority.INTAKE, 1)) }
+        assertFalse(bucket.tryTake(1, Priority.BACKGROUND, 1))
+    }
 }
