--- a/src/main/kotlin/linemast/jobs/JobDesk.kt
+++ b/src/main/kotlin/linemast/jobs/JobDesk.kt
@@ -1,5 +1,6 @@
 package linemast.jobs
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -166,7 +167,15 @@
     private suspend fun readInTurn(id: String, first: CompletableDeferred<Result<Item?>>) {
         var waiting = first
         while (true) {
-            waiting.complete(runCatching { store.get(JobKeys.verdict(id)) })
+            try {
+                waiting.complete(Result.success(store.get(JobKeys.verdict(id))))
+            } catch (e: StoreException) {
+                waiting.complete(Result.failure(e))
+            } catch (e: CancellationException) {
+                // The controller stops; that must not cancel those who only wait for this read.
+                waiting.complete(Result.failure(StoreException("stopping", mayHaveRun = false)))
+                throw e
+            }
             val next = reads[id]?.next
             if (next == null) {
                 reads.remove(id)
