--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -1,5 +1,6 @@
 package linemast.placement
 
+import linemast.jobs.JobSpec
 import linemast.planning.Planner
 import linemast.settings.Settings
 import linemast.workers.Job
@@ -114,10 +115,15 @@
 
     private fun roomInTeam(job: Job): Int = cluster.usage.room(
         job.spec,
-        cluster.unseen(job.spec.crew) { it.spec.vcpus },
-        cluster.unseen(job.spec.crew) { it.spec.gpus },
+        cluster.unseen(job.spec.crew) { it.spec.vcpus } + keptInTeam(job) { it.vcpus },
+        cluster.unseen(job.spec.crew) { it.spec.gpus } + keptInTeam(job) { it.gpus },
     )
 
+    /** What the team's limit must leave to its more urgent gangs that nothing else holds back. */
+    private fun keptInTeam(job: Job, amount: (JobSpec) -> Double): Double = cluster.jobs.values
+        .filter { it.heldBy == TEAM_LIMIT && it.spec.crew == job.spec.crew && it.spec.urgency < job.spec.urgency && it.pendingCount > 0 }
+        .sumOf { it.pendingCount * amount(it.spec) }
+
     /** Starts tasks of a sweep, at most [ownedSlots] side by side on owned machines. */
     private fun placeSweep(job: Job, ownedSlots: Int, nowMicros: Long) {
         var left = minOf(roomInTeam(job), job.pendingCount)
@@ -150,9 +156,13 @@
             return
         }
         val missing = job.pendingCount
-        if (roomInTeam(job) < missing) return held(job, "its team's limit")
+        if (roomInTeam(job) < missing) {
+            makeRoomInTeam(job, missing, nowMicros)
+            return held(job, TEAM_LIMIT)
+        }
         val machines = candidates(job, nowMicros).filter { "${it.name}#${job.gangAttempt}" !in job.clearedGang }
-        val yards = if (job.spec.samePlace) machines.map { it.yard }.distinct().map(::setOf) else listOf(null)
+        // Zones of all machines that could be made free, not only of those that are: stopping others is what helps there.
+        val yards = if (job.spec.samePlace) usable(job, nowMicros).map { it.yard }.distinct().map(::setOf) else listOf(null)
         for (yard in yards) {
             if (placeWhole(job, machines.filter { yard == null || it.yard in yard }, missing)) return
         }
@@ -160,6 +170,23 @@
         held(job, "no room")
     }
 
+    /** Stops less urgent work of the same team, the youngest first, when only the team's limit is in a gang's way. */
+    private fun makeRoomInTeam(job: Job, missing: Int, nowMicros: Long) {
+        val running = cluster.jobs.values.filter { it.spec.crew == job.spec.crew }.flatMap { it.placements }
+        var needed = missing * job.spec.vcpus - roomInTeam(job) * job.spec.vcpus
+        needed -= running.filter { it.haltReason != null }.sumOf { it.job?.spec?.vcpus ?: 0.0 }
+        val stoppable = running.filter { placement ->
+            val spec = placement.job?.spec ?: return@filter false
+            placement.haltReason == null && !placement.isAssigned && !spec.isGang && spec.urgency > job.spec.urgency
+        }
+        if (stoppable.sumOf { it.job?.spec?.vcpus ?: 0.0 } < needed) return
+        for (placement in stoppable.sortedBy { victimRank(it, nowMicros) }) {
+            if (needed <= EPSILON) return
+            halt(placement, "team's limit, for ${job.id}")
+            needed -= placement.job?.spec?.vcpus ?: 0.0
+        }
+    }
+
     /** Logs once why a gang has to wait, each time the reason changes. */
     private fun held(job: Job, reason: String) {
         if (job.heldBy == reason) return
@@ -179,7 +206,10 @@
                 index = job.nextPending(index + 1)
             }
         }
-        if (chosen.size == missing) return true
+        if (chosen.size == missing) {
+            job.heldBy = null
+            return true
+        }
         chosen.forEach(cluster::remove)
         return false
     }
@@ -257,6 +287,7 @@
         const val COUNTED_START_MICROS = 30_000_000L
         const val GPU_WEIGHT = 16.0
         const val EPSILON = 1e-6
+        const val TEAM_LIMIT = "its team's limit"
     }
 }
 
