--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -22,6 +22,9 @@
         settings.objectives.filter { it.kind == "guarantee" }.mapNotNull { it.withinMicros }.minOrNull() ?: DEFAULT_GUARANTEE_MICROS
     private val windDownMicros = settings.workers.gangPeerMicros
 
+    /** From the decision to stop a task until another runs in its place: two reports and an image. */
+    private val reactionMicros = minOf(settings.workers.reportMicros * 2 + IMAGE_MICROS, guaranteeMicros / 2)
+
     fun startable(job: Job, nowMicros: Long): Boolean =
         job.opened == Job.Opened.YES && !job.withdrawn && !job.finished &&
             nowMicros >= job.backOffUntilMicros && (!job.inherited || cluster.settled)
@@ -64,7 +67,7 @@
             .filter { it.reservedFor == null && !scarce.keepFree(spec, it, cluster.machines.values) }
             .flatMap { it.placements.values }
             .filter { it.haltReason == null && !it.isAssigned && it.job !in safe && it.job?.spec?.isGang == false }
-            .sortedBy { victimRank(it, nowMicros) }
+            .sortedByDescending { it.sentMicros }
         for (victim in victims) {
             if (missing <= 0) return
             val other = victim.job?.spec ?: continue
@@ -83,7 +86,8 @@
      * their room. Each counts for one job only, and one that runs longer than estimated for none.
      */
     private fun freeInTime(job: Job, most: Int, ending: MutableSet<Placement>, nowMicros: Long): Int {
-        val window = (guaranteeMicros - (cluster.wallMicros() - job.acceptedWallMicros)) / 2
+        // Late enough that most of the room comes by itself, early enough that a stop still helps.
+        val window = guaranteeMicros - (cluster.wallMicros() - job.acceptedWallMicros) - reactionMicros
         if (window <= 0 || most <= 0) return 0
         val inTime = usable(job, nowMicros)
             .filter { !scarce.keepFree(job.spec, it, cluster.machines.values) }
@@ -101,12 +105,6 @@
         return left in 0..window
     }
 
-    /** The youngest first, since they lose least; but those whose start would not count yet come last. */
-    private fun victimRank(placement: Placement, nowMicros: Long): Long {
-        val age = nowMicros - placement.sentMicros
-        return if (age < COUNTED_START_MICROS) age + Int.MAX_VALUE * 1_000L else age
-    }
-
     private fun isReady(job: Job, nowMicros: Long): Boolean {
         if (job.opened == Job.Opened.NO) cluster.open(job)
         if (nowMicros < job.backOffUntilMicros) cluster.dirty = true
@@ -157,7 +155,7 @@
         }
         val missing = job.pendingCount
         if (roomInTeam(job) < missing) {
-            makeRoomInTeam(job, missing, nowMicros)
+            makeRoomInTeam(job, missing)
             return held(job, TEAM_LIMIT)
         }
         val machines = candidates(job, nowMicros).filter { "${it.name}#${job.gangAttempt}" !in job.clearedGang }
@@ -171,7 +169,7 @@
     }
 
     /** Stops less urgent work of the same team, the youngest first, when only the team's limit is in a gang's way. */
-    private fun makeRoomInTeam(job: Job, missing: Int, nowMicros: Long) {
+    private fun makeRoomInTeam(job: Job, missing: Int) {
         val running = cluster.jobs.values.filter { it.spec.crew == job.spec.crew }.flatMap { it.placements }
         var needed = missing * job.spec.vcpus - roomInTeam(job) * job.spec.vcpus
         needed -= running.filter { it.haltReason != null }.sumOf { it.job?.spec?.vcpus ?: 0.0 }
@@ -180,7 +178,7 @@
             placement.haltReason == null && !placement.isAssigned && !spec.isGang && spec.urgency > job.spec.urgency
         }
         if (stoppable.sumOf { it.job?.spec?.vcpus ?: 0.0 } < needed) return
-        for (placement in stoppable.sortedBy { victimRank(it, nowMicros) }) {
+        for (placement in stoppable.sortedByDescending { it.sentMicros }) {
             if (needed <= EPSILON) return
             halt(placement, "team's limit, for ${job.id}")
             needed -= placement.job?.spec?.vcpus ?: 0.0
@@ -284,7 +282,7 @@
         const val REPORT_SLACK_MICROS = 1_500_000L
         const val RESERVATION_MICROS = 15_000_000L
         const val DEFAULT_GUARANTEE_MICROS = 10_000_000L
-        const val COUNTED_START_MICROS = 30_000_000L
+        const val IMAGE_MICROS = 2_000_000L
         const val GPU_WEIGHT = 16.0
         const val EPSILON = 1e-6
         const val TEAM_LIMIT = "its team's limit"
