--- a/src/main/kotlin/linemast/planning/Aims.kt
+++ b/src/main/kotlin/linemast/planning/Aims.kt
@@ -1,6 +1,7 @@
 package linemast.planning
 
 import linemast.settings.Objective
+import linemast.settings.Team
 import linemast.workers.Job
 
 /**
@@ -9,7 +10,8 @@
  * When there is more work than room, the order in which it is done decides how many jobs reach their aims:
  * one that has missed all of them already should not make the next one miss as well.
  */
-class Aims(private val objectives: List<Objective>, private val times: TaskTimes) {
+class Aims(objectives: List<Objective>, teams: List<Team>, private val times: TaskTimes) {
+    private val limits = teams.associate { it.name to it.cpusMax }
     private val byLane = objectives.filter { it.lane != null }.groupBy { it.lane }
 
     /** 0: all aims can still be reached; one more for each that cannot; back to 0 when it has waited too long. */
@@ -27,10 +29,16 @@
     private fun latestStart(aim: Objective, job: Job, run: Long): Long? = when (aim.kind) {
         "wait" -> aim.withinMicros
         "finished" -> aim.withinMicros?.let { it - run }
-        "deadline" -> job.spec.dueMicros?.let { (it * (aim.times ?: 1.0)).toLong() - run }
+        "deadline" -> job.spec.dueMicros?.let { (it * (aim.times ?: 1.0)).toLong() - run * rounds(job) }
         else -> null
     }
 
+    /** How many times over its team's limit makes it use the same room: a job too large for its time is late from the start. */
+    private fun rounds(job: Job): Int {
+        val most = if (job.spec.vcpus > 0) limits[job.spec.crew]?.div(job.spec.vcpus) ?: return 1 else return 1
+        return Math.ceil((job.spec.pieces - job.doneCount) / most).toInt().coerceAtLeast(1)
+    }
+
     private companion object {
         /** No job is put off for longer than this many times its latest start. */
         const val PATIENCE = 5
--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -51,7 +51,7 @@
  * rented, backups for owned room that is not there yet, and a top-up for what fell short.
  */
 class Planner(private val settings: Settings, private val policy: Policy, private val times: TaskTimes) {
-    val aims = Aims(settings.objectives, times)
+    val aims = Aims(settings.objectives, settings.teams, times)
     private val plans = HashMap<String, JobPlan>()
 
     fun planOf(job: Job): JobPlan? = plans[job.id]
