--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -187,8 +187,14 @@
                 }
                 when (result) {
                     is RentResult.Rented ->
-                        return@launch events.send { fleet.rented(request, result.names, cluster.types, clock.nowMicros()) }
-                    RentResult.NoCapacity -> return@launch events.send { fleet.refused(request, clock.nowMicros()) }
+                        return@launch events.send {
+                            fleet.rented(request, result.names, cluster.types, clock.nowMicros())
+                            if (result.names.size < request.number) steward.lookSoon()
+                        }
+                    RentResult.NoCapacity -> return@launch events.send {
+                        fleet.refused(request, clock.nowMicros())
+                        steward.lookSoon()
+                    }
                     RentResult.Unknown -> delay(SECOND_MICROS / 1_000)
                 }
             }
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -37,11 +37,17 @@
         val fresh = arrived > 0
         val whole = plannedMicros == Long.MIN_VALUE || nowMicros - plannedMicros >= policy.longIntervalMicros
         if (fresh || whole) plan(jobs, whole, wallMicros, nowMicros)
-        if (!fresh && !whole && nowMicros - lookedMicros < policy.shortIntervalMicros) return NOTHING
+        val waited = lookedMicros == Long.MIN_VALUE || nowMicros - lookedMicros >= policy.shortIntervalMicros
+        if (!fresh && !whole && !waited) return NOTHING
         lookedMicros = nowMicros
         return look(jobs, nowMicros)
     }
 
+    /** A rental was refused or filled in part: the next offer is asked for without waiting out the interval. */
+    fun lookSoon() {
+        lookedMicros = Long.MIN_VALUE
+    }
+
     private fun plan(jobs: List<Job>, whole: Boolean, wallMicros: Long, nowMicros: Long) {
         val owned = cluster.machines.values.filter { isOwned(it.name) && !it.draining && nowMicros < it.leaseEndMicros }
         planner.plan(jobs, owned, whole, ::bootMicros, wallMicros, nowMicros)
