--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -17,6 +17,9 @@
 class Placer(private val cluster: Cluster, private val settings: Settings) {
     private val log = LoggerFactory.getLogger(Placer::class.java)
     private val scarce = ScarceTypes()
+
+    /** The gang each team submitted last. */
+    private val latestGangs = HashMap<String, JobSpec>()
     private val staleMicros = settings.workers.reportMicros * 5 / 2 + REPORT_SLACK_MICROS
     private val guaranteeMicros =
         settings.objectives.filter { it.kind == "guarantee" }.mapNotNull { it.withinMicros }.minOrNull() ?: DEFAULT_GUARANTEE_MICROS
@@ -37,6 +40,7 @@
         cluster.dirty = false
         val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, cluster.planner, cluster.wallMicros())
         scarce.learn(jobs.map { it.job.spec }, cluster.types.values, nowMicros)
+        for (ranked in jobs) if (ranked.job.spec.isGang) latestGangs[ranked.job.spec.crew] = ranked.job.spec
         val ready = jobs.map { it.job }.filter { it.pendingCount > 0 && isReady(it, nowMicros) }
         // First what is booked on owned machines, then whatever is left over.
         for (job in ready) if (job.spec.isGang) placeGang(job, nowMicros) else placeSweep(job, cluster.bookings(job), nowMicros)
@@ -92,17 +96,15 @@
         val inTime = usable(job, nowMicros)
             .filter { !scarce.keepFree(job.spec, it, cluster.machines.values) }
             .flatMap { it.placements.values }
-            .filter { it !in ending && endsWithin(it, job, nowMicros, window) }
+            .filter { it !in ending && endsWithin(it, nowMicros, window) && (it.job?.spec?.vcpus ?: 0.0) >= job.spec.vcpus }
             .take(most)
         ending += inTime
         return inTime.size
     }
 
-    private fun endsWithin(placement: Placement, job: Job, nowMicros: Long, window: Long): Boolean {
-        val other = placement.job ?: return false
-        if (!placement.isRunning || other.spec.vcpus < job.spec.vcpus) return false
-        val left = placement.runningSinceMicros + cluster.times.estimateMicros(other) - nowMicros
-        return left in 0..window
+    private fun endsWithin(placement: Placement, nowMicros: Long, window: Long): Boolean {
+        val job = placement.job ?: return false
+        return placement.isRunning && placement.runningSinceMicros + cluster.times.estimateMicros(job) - nowMicros in 0..window
     }
 
     private fun isReady(job: Job, nowMicros: Long): Boolean {
@@ -117,10 +119,17 @@
         cluster.unseen(job.spec.crew) { it.spec.gpus } + keptInTeam(job) { it.gpus },
     )
 
-    /** What the team's limit must leave to its more urgent gangs that nothing else holds back. */
-    private fun keptInTeam(job: Job, amount: (JobSpec) -> Double): Double = cluster.jobs.values
-        .filter { it.heldBy == TEAM_LIMIT && it.spec.crew == job.spec.crew && it.spec.urgency < job.spec.urgency && it.pendingCount > 0 }
-        .sumOf { it.pendingCount * amount(it.spec) }
+    /**
+     * What the team's limit must leave to its more urgent gangs: to those that nothing else holds back, and to
+     * the next one, since stopping tasks for it would lose more than the room left free.
+     */
+    private fun keptInTeam(job: Job, amount: (JobSpec) -> Double): Double {
+        val waiting = cluster.jobs.values
+            .filter { it.heldBy == TEAM_LIMIT && it.spec.crew == job.spec.crew && it.spec.urgency < job.spec.urgency && it.pendingCount > 0 }
+            .sumOf { it.pendingCount * amount(it.spec) }
+        val next = latestGangs[job.spec.crew]?.takeIf { it.urgency < job.spec.urgency } ?: return waiting
+        return maxOf(waiting, next.pieces * amount(next))
+    }
 
     /** Starts tasks of a sweep, at most [ownedSlots] side by side on owned machines. */
     private fun placeSweep(job: Job, ownedSlots: Int, nowMicros: Long) {
@@ -217,30 +226,43 @@
         val machines = usable(job, nowMicros).filter { yard == null || it.yard in yard }
         val kept = machines.count { it.reservedFor === job }
         if (kept >= missing) return true
+        val window = patienceMicros(job)
         val offers = machines.filter { it.reservedFor == null }
-            .mapNotNull { machine -> victims(job, machine)?.let { machine to it } }
+            .mapNotNull { machine -> victims(job, machine, window, nowMicros)?.let { machine to it } }
             .sortedBy { (_, stopped) -> stopped.sumOf { lostWork(it, nowMicros) } }
             .take(missing - kept)
         if (offers.size + kept < missing) return false
         for ((machine, stopped) in offers) {
             machine.reservedFor = job
-            machine.reservedUntilMicros = nowMicros + RESERVATION_MICROS
+            machine.reservedUntilMicros = nowMicros + window + RESERVATION_MICROS
             stopped.filter { it.haltReason == null }.forEach { halt(it, "room for ${job.id}") }
         }
         return true
     }
 
-    /** The tasks to stop on [machine] so that one of [job] fits; null if that is not allowed or not enough. */
-    private fun victims(job: Job, machine: Machine): List<Placement>? {
+    /** How long [job] can wait for room and still start when its users expect it. */
+    private fun patienceMicros(job: Job): Long {
+        val aim = settings.objectives.filter { it.lane == job.spec.lane && it.kind == "wait" }.mapNotNull { it.withinMicros }.minOrNull() ?: 0
+        val age = cluster.wallMicros() - job.acceptedWallMicros
+        return (minOf(aim, MOST_PATIENCE_MICROS) - age - settings.workers.reportMicros * 2 - IMAGE_MICROS).coerceAtLeast(0)
+    }
+
+    /**
+     * The tasks to stop on [machine] so that one of [job] fits; null if that is not allowed or not enough.
+     *
+     * Those that end by themselves within [window] are left to: they have the most work to lose.
+     */
+    private fun victims(job: Job, machine: Machine, window: Long, nowMicros: Long): List<Placement>? {
         val stoppable = machine.placements.values.filter { other ->
             val spec = other.job?.spec ?: return@filter false
             spec.urgency > job.spec.urgency && !spec.isGang
         }
         var cpus = machine.freeVcpus
         val chosen = ArrayList<Placement>()
-        for (placement in stoppable.sortedByDescending { it.sentMicros }) {
+        val first = compareBy<Placement>({ !endsWithin(it, nowMicros, window) }, { -it.sentMicros })
+        for (placement in stoppable.sortedWith(first)) {
             if (cpus + EPSILON >= job.spec.vcpus) break
-            chosen += placement
+            if (!endsWithin(placement, nowMicros, window)) chosen += placement
             cpus += placement.job?.spec?.vcpus ?: 0.0
         }
         return if (cpus + EPSILON >= job.spec.vcpus) chosen else null
@@ -281,6 +303,7 @@
     private companion object {
         const val REPORT_SLACK_MICROS = 1_500_000L
         const val RESERVATION_MICROS = 15_000_000L
+        const val MOST_PATIENCE_MICROS = 30_000_000L
         const val DEFAULT_GUARANTEE_MICROS = 10_000_000L
         const val IMAGE_MICROS = 2_000_000L
         const val GPU_WEIGHT = 16.0
