Guard starts against machines that do not hear, late copies and cut-off leaders

- A start leaves only for a worker that shows this helm and whose last report came too soon for one that got no answer; a machine that stays deaf is no supply and is returned.
- Returned machines stay known as such, so that a late copy of a report cannot bring one back; a worker that begins from the start is taken in again once its earlier lease is over.
- A leader that hears neither the store nor a peer holds no workers in grace; one that only the workers do not reach gives the lead away.
- After a take-over a job waits only for machines that can hold its tasks.
- Health goes by what each peer said last, so that the start of an outage takes nobody out.
The fault simulation plays these troubles too.

--- a/src/main/kotlin/linemast/app/Node.kt
+++ b/src/main/kotlin/linemast/app/Node.kt
@@ -53,6 +53,9 @@
     private var types: List<MachineType>? = null
     private var duty: LeaderDuty? = null
     private var dutyScope: CoroutineScope? = null
+
+    /** When a worker last reported here. */
+    private var beatMicros = Long.MIN_VALUE / 2
     private val desk = JobDesk(
         store = store,
         scope = scope,
@@ -75,7 +78,9 @@
 
     private fun startDuty(authority: Authority) {
         val dutyScope = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
-        val next = LeaderDuty(settings, policy, store, cloud, clock, authority, graceMicros, dutyScope, wallMicros) { types }
+        val next = LeaderDuty(
+            settings, policy, store, cloud, clock, authority, graceMicros, dutyScope, wallMicros, peers, { types },
+        )
         this.dutyScope = dutyScope
         duty = next
         dutyScope.launch { next.run() }
@@ -91,7 +96,10 @@
 
     fun frame(): PeerFrame {
         val leading = duty
-        return PeerFrame(settings.nodeName, view.highestHelm, leading != null, probe.works, leading?.progress() ?: emptyMap())
+        val workersAsk = clock.nowMicros() - beatMicros < WORKERS_ASK_MICROS
+        return PeerFrame(
+            settings.nodeName, view.highestHelm, leading != null, probe.works, workersAsk, leading?.progress() ?: emptyMap(),
+        )
     }
 
     fun heard(frame: PeerFrame) {
@@ -116,6 +124,7 @@
 
     private suspend fun beat(request: HttpRequest): HttpResponse {
         val report = Report.read(Cbor.decodeMap(request.body))
+        beatMicros = clock.nowMicros()
         view.heardOf(report.helm)
         val authority = view.own
         val orders = if (authority == null) null else duty?.answer(report)
@@ -164,6 +173,9 @@
 
     private companion object {
         const val RETRY_MILLIS = 500L
-        const val UNHEALTHY_MICROS = 1_500_000L
+        const val WORKERS_ASK_MICROS = 2_000_000L
+
+        /** Longer than news of an outage takes from the others: a second between questions, one between frames. */
+        const val UNHEALTHY_MICROS = 3_500_000L
     }
 }
--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -137,7 +137,7 @@
             if (isOwned(machine.name) || machine.returning || machine.status == "failed") continue
             val worker = workers[machine.name]
             val overdue = worker == null && nowMicros - machine.rentedMicros > OVERDUE_BOOTS * machine.type.startupMicros
-            if (overdue || worker?.draining == true) continue
+            if (overdue || worker?.draining == true || (worker != null && worker.deafSinceMicros > 0)) continue
             supply += Supply(machine.type, machine.yard, machine.loaners, machine.type.vcpus)
         }
         for ((request, _) in pendingRents.values) {
@@ -199,6 +199,7 @@
         if (machine.loaners && silent > quiet && neighbourReports(worker, workers, nowMicros)) return "taken without notice"
         val longSilent = if (isOwned(machine.name)) OWNED_SILENT_MICROS else SILENT_MICROS
         if (silent > longSilent && neighbourReports(worker, workers, nowMicros)) return "silent"
+        if (worker.deafSinceMicros > 0 && nowMicros - worker.deafSinceMicros > SILENT_MICROS) return "does not hear"
         if (worker.placements.isNotEmpty() || worker.reservedFor != null || silent > quiet) return null
         val idle = nowMicros - worker.idleSinceMicros
         if (machine.name in planned) return null
--- a/src/main/kotlin/linemast/leadership/Authority.kt
+++ b/src/main/kotlin/linemast/leadership/Authority.kt
@@ -34,6 +34,16 @@
         graceUntilMicros = untilMicros + graceMicros
     }
 
+    /** Whether the lead was given up while it could have been kept. */
+    var abdicated = false
+        private set
+
+    /** Gives the lead up, for another controller to take at once. */
+    fun abdicate() {
+        abdicated = true
+        ended = true
+    }
+
     /** A higher helm exists, or the hold is gone: nothing may be done any more, not even in grace. */
     fun end() {
         ended = true
--- a/src/main/kotlin/linemast/leadership/Election.kt
+++ b/src/main/kotlin/linemast/leadership/Election.kt
@@ -53,7 +53,10 @@
         while (true) {
             try {
                 val authority = contend()
-                if (authority != null) keep(authority)
+                if (authority != null) {
+                    keep(authority)
+                    if (authority.abdicated) stepAside()
+                }
             } catch (e: StoreException) {
                 log.debug("election: {}", e.message)
                 delay(RETRY_MILLIS)
@@ -109,6 +112,16 @@
         }
     }
 
+    /** Ends the hold, and lets the others contend first. */
+    private suspend fun stepAside() {
+        try {
+            store.endHold(hold)
+        } catch (e: StoreException) {
+            log.debug("ending the hold: {}", e.message)
+        }
+        delay(ASIDE_MILLIS)
+    }
+
     private suspend fun keep(authority: Authority) {
         log.info("leading with helm {}", authority.helm)
         view.own = authority
@@ -141,6 +154,7 @@
     private companion object {
         const val RENEWALS_PER_HOLD = 5
         const val RETRY_MILLIS = 300L
+        const val ASIDE_MILLIS = 15_000L
         const val FOLLOW_MICROS = 8 * SECOND_MICROS
     }
 }
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -20,6 +20,7 @@
 import linemast.jobs.Progress
 import linemast.jobs.Verdict
 import linemast.jobs.VerdictRecord
+import linemast.peers.PeerView
 import linemast.placement.Cluster
 import linemast.placement.Effects
 import linemast.planning.Planner
@@ -63,6 +64,7 @@
     private val graceMicros: Long,
     private val scope: CoroutineScope,
     private val wallMicros: () -> Long,
+    private val peers: PeerView,
     private val types: () -> List<MachineType>?,
 ) : Effects {
     private val log = LoggerFactory.getLogger(LeaderDuty::class.java)
@@ -87,7 +89,7 @@
             val now = clock.nowMicros()
             reply.complete(
                 when {
-                    !authority.mayAnswer(now) -> null
+                    !authority.mayAnswer(now) || isCutOff(now) -> null
                     // Before the store has been read the worker keeps its tasks, and no more.
                     !loaded -> emptyList()
                     // In grace there are no orders, but the answer renews a lease: it has to be counted.
@@ -98,6 +100,23 @@
         return if (taken.isSuccess) reply.await() else null
     }
 
+    /**
+     * Neither the store nor a peer answers: most likely this controller is cut off, and another one leads. In an
+     * outage of the store alone the peers are still heard. Workers are better sent away than held in grace.
+     */
+    private fun isCutOff(nowMicros: Long): Boolean =
+        !authority.mayOrder(nowMicros) && settings.members.isNotEmpty() && !peers.hearsAny
+
+    /**
+     * Gives the lead away when the workers do not get through to this controller but to others: as long as it
+     * renewed its lead, they would be sent back here until their leases are over.
+     */
+    private fun leaveIfWorkersAreLost(nowMicros: Long) {
+        if (!cluster.hasLostWorkers(nowMicros) || !peers.workersAskElsewhere) return
+        log.info("workers turn to other controllers and do not get through here: giving the lead away")
+        authority.abdicate()
+    }
+
     /** Another controller knows of [helm]. Once all others know this lead's, no earlier one can go on. */
     fun peerKnows(node: String, helm: Long) {
         if (helm < authority.helm || !peersKnowing.add(node)) return
@@ -124,6 +143,7 @@
     private fun tick() {
         val now = clock.nowMicros()
         if (!authority.mayOrder(now)) return
+        leaveIfWorkersAreLost(now)
         cluster.tick(now)
         val actions = steward.step(wallMicros(), now)
         actions.rentals.forEach(::rent)
--- a/src/main/kotlin/linemast/peers/PeerFrame.kt
+++ b/src/main/kotlin/linemast/peers/PeerFrame.kt
@@ -19,6 +19,8 @@
     val leads: Boolean,
     /** Whether the state service answers the sender. */
     val storeWorks: Boolean,
+    /** Whether workers have reported to the sender lately. */
+    val workersAsk: Boolean,
     val progress: Map<String, Progress>,
 ) {
     fun encode(): Buffer {
@@ -26,7 +28,7 @@
         out.writeByte(VERSION)
         writeText(out, node)
         out.writeLong(helm)
-        out.writeByte((if (leads) LEADS else 0) or (if (storeWorks) STORE_WORKS else 0))
+        out.writeByte((if (leads) LEADS else 0) or (if (storeWorks) STORE_WORKS else 0) or (if (workersAsk) WORKERS_ASK else 0))
         val shown = progress.entries.take(MAX_JOBS)
         out.writeShort(shown.size)
         for ((id, counts) in shown) {
@@ -42,6 +44,7 @@
         private const val VERSION = 1
         private const val LEADS = 1
         private const val STORE_WORKS = 2
+        private const val WORKERS_ASK = 4
         private const val MAX_JOBS = 1_000
         private const val MAX_TEXT = 200
 
@@ -55,7 +58,7 @@
             val progress = LinkedHashMap<String, Progress>(count * 2)
             repeat(count) { progress[readText(from)] = Progress(from.readInt(), from.readInt()) }
             if (!from.exhausted()) throw MalformedException("peer frame: too long")
-            PeerFrame(node, helm, flags and LEADS != 0, flags and STORE_WORKS != 0, progress)
+            PeerFrame(node, helm, flags and LEADS != 0, flags and STORE_WORKS != 0, flags and WORKERS_ASK != 0, progress)
         } catch (e: EOFException) {
             throw MalformedException("peer frame: too short")
         }
--- a/src/main/kotlin/linemast/peers/PeerView.kt
+++ b/src/main/kotlin/linemast/peers/PeerView.kt
@@ -9,13 +9,27 @@
     private var frame: PeerFrame? = null
     private var heardMicros = 0L
 
-    private var storeWorkedMicros = Long.MIN_VALUE / 2
+    private class Heard(val frame: PeerFrame, val atMicros: Long)
 
-    /** Whether another controller said lately that the state service answers it. */
-    val storeWorksElsewhere: Boolean get() = clock.nowMicros() - storeWorkedMicros < FRESH_MICROS
+    private val latest = HashMap<String, Heard>()
+
+    /**
+     * Whether the state service answers another controller, by the latest that each said: what one said before
+     * an outage must not make all take themselves out when it begins.
+     */
+    val storeWorksElsewhere: Boolean get() = fresh().any { it.storeWorks }
+
+    /** Whether workers turn to another controller. */
+    val workersAskElsewhere: Boolean get() = fresh().any { it.workersAsk }
+
+    /** Whether any other controller was heard lately. */
+    val hearsAny: Boolean get() = fresh().isNotEmpty()
+
+    private fun fresh(): List<PeerFrame> =
+        clock.nowMicros().let { now -> latest.values.filter { now - it.atMicros < LATEST_MICROS }.map { it.frame } }
 
     fun heard(next: PeerFrame) {
-        if (next.storeWorks) storeWorkedMicros = clock.nowMicros()
+        latest[next.node] = Heard(next, clock.nowMicros())
         val last = frame
         if (!next.leads || (last != null && next.helm < last.helm)) return
         frame = next
@@ -27,5 +41,6 @@
 
     private companion object {
         const val FRESH_MICROS = 5 * SECOND_MICROS
+        const val LATEST_MICROS = 3 * SECOND_MICROS
     }
 }
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -44,6 +44,22 @@
         private set
     private var unsettled = true
 
+    /** Machines that may still hold unseen tasks of an earlier leader; changes at reports and ticks only. */
+    private var unseenOn = emptyList<Machine>()
+
+    /** Machines of which the cloud has confirmed that they are gone; names are never used again. */
+    private val returned = object : LinkedHashSet<String>() {
+        override fun add(element: String): Boolean = super.add(element).also { if (size > MOST_RETURNED) remove(first()) }
+    }
+
+    /**
+     * A worker that got no answer reports again after its time-out and a pause; one that reports sooner than that
+     * got the answer before.
+     */
+    private val lostWorkersMicros = settings.workers.reportMicros * 3 / 2 + 2 * REPORT_SLACK_MICROS
+    private val answeredWithinMicros =
+        maxOf(UNANSWERED_MICROS, settings.workers.reportMicros * 5 / 4 + REPORT_SLACK_MICROS)
+
     /** Until when an earlier leader may answer reports in its grace. */
     private var graceEndMicros = 0L
     private var attempts = 0L
@@ -72,6 +88,7 @@
         for ((record, stamp) in records) jobs[record.spec.id] = Job(record, stamp, inherited = record.opened)
         for (machine in recorded) {
             machine.onRecord = true
+            machine.inherited = true
             // An earlier leader in its grace may answer this worker until then.
             machine.leaseEndMicros = graceEndMicros + leaseSpanMicros
             machines[machine.name] = machine
@@ -143,11 +160,14 @@
 
     /** Takes a report and gives the orders for its answer; null for a machine of an unknown type. */
     fun report(report: Report, nowMicros: Long, mayOrder: Boolean): List<Order>? {
+        // The cloud has confirmed its end: this is a late copy, and must not bring the machine back.
+        if (report.rig in returned) return emptyList()
         val machine = machineOf(report) ?: return null
-        val newer = report.watch > machine.watch || (report.watch == machine.watch && report.tick > machine.tick)
+        val newer = machine.isNewer(report)
         // A late copy or a report overtaken by a newer one: its worker does not wait for this answer any more.
-        if (!newer) return emptyList()
-        if (report.watch > machine.watch) endSession(machine)
+        if (!newer && !machine.restarted(report, nowMicros, answeredWithinMicros)) return emptyList()
+        machine.heardAgain(report, nowMicros, answeredWithinMicros)
+        if (!newer || report.watch > machine.watch) endSession(machine)
         machine.watch = report.watch
         machine.tick = report.tick
         machine.helm = maxOf(machine.helm, report.helm)
@@ -162,9 +182,11 @@
         reconcile(machine, report, nowMicros)
         if (machine.recallMicros != null) saveBeforeRecall(machine)
         if (!mayOrder) return emptyList()
+        // A worker that does not show this helm has not heard this leader yet, and may never.
+        val mayStart = machine.hears && report.helm >= helm
         settle(nowMicros)
         if (dirty && nowMicros - lastPassMicros >= PASS_MICROS) pass(nowMicros)
-        return orders(machine, nowMicros)
+        return orders(machine, mayStart, nowMicros)
     }
 
     private fun machineOf(report: Report): Machine? {
@@ -292,13 +314,13 @@
         remove(placement)
     }
 
-    private fun orders(machine: Machine, nowMicros: Long): List<Order> {
+    private fun orders(machine: Machine, mayStart: Boolean, nowMicros: Long): List<Order> {
         val orders = ArrayList<Order>()
         for (piece in machine.ended.values) if (mayClear(machine, piece)) orders += Order.Clear(piece.piece, piece.attempt)
         for (placement in machine.placements.values.toList()) {
             if (orders.size >= MAX_ORDERS) break
             if (placement.isAssigned) {
-                if (!mayStart(machine, placement, nowMicros)) {
+                if (!mayStart || !mayStart(machine, placement, nowMicros)) {
                     remove(placement)
                     continue
                 }
@@ -359,7 +381,7 @@
 
     private fun follow(job: Job, nowMicros: Long) {
         if (job.withdrawn) {
-            if (settled && job.placements.isEmpty() && !job.writingDone) effects.dropWithdrawn(job)
+            if (isSettledFor(job) && job.placements.isEmpty() && !job.writingDone) effects.dropWithdrawn(job)
         } else if (!job.finished && !job.writingDone && !job.dirtyParts.isEmpty) {
             // Progress is stored now and then: each write takes from what submissions and ends of jobs need.
             if (!job.isDone && nowMicros < job.doneStoredMicros + PROGRESS_MICROS) return
@@ -386,12 +408,29 @@
      */
     private fun settle(nowMicros: Long) {
         if (!unsettled) return
-        if (machines.values.any { it.onRecord && it.helm < helm && nowMicros < it.leaseEndMicros }) return
+        val before = unseenOn.size
+        unseenOn = machines.values.filter { it.inherited && it.helm < helm && nowMicros < it.leaseEndMicros }
+        if (unseenOn.isNotEmpty()) {
+            if (unseenOn.size == before) return
+            for (job in jobs.values) if (job.unseen) job.unseen = unseenOn.any { it.allows(job.spec) }
+            dirty = true
+            return
+        }
         unsettled = false
         dirty = true
         log.info("settled {} ms after loading: {} machines, {} jobs", (nowMicros - loadedMicros) / 1_000, machines.size, jobs.size)
     }
 
+    /** Whether most workers that reported to this leader have fallen silent at once. */
+    fun hasLostWorkers(nowMicros: Long): Boolean {
+        val known = machines.values.count { it.reportedMicros > 0 && !it.draining }
+        val heard = machines.values.count { it.reportedMicros > 0 && !it.draining && nowMicros - it.reportedMicros < lostWorkersMicros }
+        return known >= FEW_WORKERS && heard * 4 < known
+    }
+
+    /** Whether no unseen task of [job] can be on a machine: those that cannot hold one need not be waited for. */
+    fun isSettledFor(job: Job): Boolean = !unsettled || !job.unseen
+
     /** Which machines are owned is known by the fleet. */
     fun markOwned(names: Set<String>) {
         machines.values.forEach { it.owned = it.name in names }
@@ -409,6 +448,7 @@
     /** The cloud has confirmed that these are gone. */
     fun returned(names: Collection<String>) {
         for (name in names) {
+            returned.add(name)
             val machine = machines.remove(name) ?: continue
             machine.placements.values.toList().forEach(::remove)
         }
@@ -418,13 +458,17 @@
     /** Amounts that unseen tasks of earlier leaders may use, by team: they count in full against the caps. */
     fun unseen(team: String, amount: (Job) -> Double): Double {
         if (!unsettled) return 0.0
-        return jobs.values.filter { it.inherited && it.spec.crew == team }.sumOf { it.pendingCount * amount(it) }
+        return jobs.values.filter { it.spec.crew == team && !isSettledFor(it) }.sumOf { it.pendingCount * amount(it) }
     }
 
     private companion object {
         const val ATTEMPTS_PER_HELM = 1L shl 24
         const val LEASE_MARGIN_MICROS = 300_000L
         const val PASS_MICROS = 100_000L
+        const val UNANSWERED_MICROS = 4_700_000L
+        const val REPORT_SLACK_MICROS = 1_000_000L
+        const val FEW_WORKERS = 3
+        const val MOST_RETURNED = 5_000
         const val MAX_ORDERS = 300
         const val PROGRESS_MICROS = 5_000_000L
         const val FORGET_MICROS = 30_000_000L
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -30,7 +30,7 @@
 
     fun startable(job: Job, nowMicros: Long): Boolean =
         job.opened == Job.Opened.YES && !job.withdrawn && !job.finished &&
-            nowMicros >= job.backOffUntilMicros && (!job.inherited || cluster.settled)
+            nowMicros >= job.backOffUntilMicros && cluster.isSettledFor(job)
 
     fun pass(nowMicros: Long) {
         for (machine in cluster.machines.values) {
@@ -296,8 +296,7 @@
 
     private fun usable(job: Job, nowMicros: Long): List<Machine> = cluster.machines.values.filter {
         !it.draining && it.onRecord && it.reportedMicros > 0 && nowMicros - it.reportedMicros < staleMicros &&
-            it.type.takes(job.spec) && (job.spec.loaners || !it.loaners) &&
-            (job.spec.yard == null || job.spec.yard == it.yard) && it.name !in job.failedOn
+            it.hears && it.helm >= cluster.helm && it.allows(job.spec) && it.name !in job.failedOn
     }
 
     private companion object {
--- a/src/main/kotlin/linemast/planning/Forecast.kt
+++ b/src/main/kotlin/linemast/planning/Forecast.kt
@@ -36,12 +36,12 @@
 
     /** Tasks of [job] that may run side by side in interval [i], going by what is left on each machine. */
     fun roomFor(job: Job, i: Int): Double = rows.sumOf { row ->
-        if (allowed(job, row.machine)) Math.floor(row.room[i] / job.spec.vcpus + EPSILON) else 0.0
+        if (row.machine.allows(job.spec)) Math.floor(row.room[i] / job.spec.vcpus + EPSILON) else 0.0
     }
 
     /** Tasks of [job] that could start at once. */
     fun freeNow(job: Job): Double = rows.sumOf { row ->
-        if (allowed(job, row.machine)) Math.floor(row.freeNow / job.spec.vcpus + EPSILON) else 0.0
+        if (row.machine.allows(job.spec)) Math.floor(row.freeNow / job.spec.vcpus + EPSILON) else 0.0
     }
 
     /** Takes room for [tasks] tasks side by side in interval [i]. */
@@ -49,18 +49,13 @@
         var left = tasks * job.spec.vcpus
         for (row in rows.sortedBy { it.machine.type.vcpus }) {
             if (left <= 0) return
-            if (!allowed(job, row.machine)) continue
+            if (!row.machine.allows(job.spec)) continue
             val taken = minOf(left, row.room[i])
             row.room[i] -= taken
             left -= taken
         }
     }
 
-    private fun allowed(job: Job, machine: Machine): Boolean {
-        val spec = job.spec
-        return machine.type.takes(spec) && (spec.loaners || !machine.loaners) && (spec.yard == null || spec.yard == machine.yard)
-    }
-
     private companion object {
         const val EPSILON = 1e-6
     }
--- a/src/main/kotlin/linemast/state/Store.kt
+++ b/src/main/kotlin/linemast/state/Store.kt
@@ -73,6 +73,9 @@
 
     suspend fun openHold(lifeMicros: Long): Long
 
+    /** Ends a hold, and the keys attached to it, at once. */
+    suspend fun endHold(hold: Long)
+
     /** False when the hold has ended. */
     suspend fun renewHold(hold: Long): Boolean
 }
--- a/src/main/kotlin/linemast/state/StoreClient.kt
+++ b/src/main/kotlin/linemast/state/StoreClient.kt
@@ -103,6 +103,11 @@
         return true
     }
 
+    override suspend fun endHold(hold: Long) {
+        val reply = call(renewals, "DELETE", "/holds/$hold", null, Priority.VITAL)
+        if (reply.status != 200 && reply.status != 404) refuse(reply)
+    }
+
     private suspend fun call(
         client: HttpClient,
         method: String,
--- a/src/main/kotlin/linemast/workers/Job.kt
+++ b/src/main/kotlin/linemast/workers/Job.kt
@@ -5,8 +5,11 @@
 import java.util.BitSet
 
 /** An unfinished job as the leader sees it. */
-class Job(record: OpenRecord, stamp: Long, val inherited: Boolean) {
+class Job(record: OpenRecord, stamp: Long, inherited: Boolean) {
     val spec = record.spec
+
+    /** Whether tasks that an earlier leader started may be on machines that this one has not heard from. */
+    var unseen = inherited
     val id: String get() = spec.id
     val acceptedWallMicros = record.acceptedWallMicros
 
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -1,6 +1,7 @@
 package linemast.workers
 
 import linemast.cloud.MachineType
+import linemast.jobs.JobSpec
 
 /** What the leader knows of a task that may be on a machine. */
 class Placement(
@@ -58,6 +59,42 @@
 
     var recallMicros: Long? = null
 
+    /** May hold tasks that an earlier leader started and this one has not seen. */
+    var inherited = false
+
+    /** Whether the answer to its report before the last one reached it; without that no start is sent. */
+    var hears = false
+
+    /** Since when its reports come but no answer seems to reach it; 0 while that is not so. */
+    var deafSinceMicros = 0L
+
+    /** The latest report that was older than one before it: see [restarted]. */
+    private var olderWatch = 0L
+    private var olderTick = 0L
+    private var olderMicros = 0L
+
+    fun isNewer(report: Report): Boolean = report.watch > watch || (report.watch == watch && report.tick > tick)
+
+    /**
+     * Whether [report], which is older than one before it, comes from a worker that has begun from the start.
+     *
+     * A single one may be a late copy. Two that follow each other, after the lease that the books give the
+     * earlier worker is over, are not: that worker would have reported, and would count further.
+     */
+    fun restarted(report: Report, nowMicros: Long, mostBetweenMicros: Long): Boolean {
+        val follows = report.watch == olderWatch && report.tick > olderTick && nowMicros - olderMicros <= mostBetweenMicros
+        olderWatch = report.watch
+        olderTick = report.tick
+        olderMicros = nowMicros
+        return follows && nowMicros >= leaseEndMicros
+    }
+
+    /** Takes note of whether answers reach the worker, from how soon its next report came. */
+    fun heardAgain(report: Report, nowMicros: Long, mostBetweenMicros: Long) {
+        hears = reportedMicros > 0 && report.watch == watch && nowMicros - reportedMicros <= mostBetweenMicros
+        if (hears || reportedMicros == 0L) deafSinceMicros = 0 else if (deafSinceMicros == 0L) deafSinceMicros = nowMicros
+    }
+
     /** Keyed by task and attempt, so that two attempts of one task both count. */
     val placements = LinkedHashMap<String, Placement>()
 
@@ -91,6 +128,10 @@
 
     val freeVcpus: Double get() = type.vcpus - usedVcpus
 
+    /** Whether a task of [spec] may be here at all. */
+    fun allows(spec: JobSpec): Boolean =
+        type.takes(spec) && (spec.loaners || !loaners) && (spec.yard == null || spec.yard == yard)
+
     fun fits(job: Job): Boolean = job.spec.let {
         it.vcpus <= type.vcpus - usedVcpus + EPSILON &&
             it.gpus <= type.gpus - usedGpus + EPSILON &&
--- a/src/test/kotlin/linemast/jobs/JobFormatsTest.kt
+++ b/src/test/kotlin/linemast/jobs/JobFormatsTest.kt
@@ -62,7 +62,9 @@
         val random = Random(seed)
         repeat(50) {
             val progress = (0 until random.nextInt(30)).associate { "req-$it" to Progress(random.nextInt(100), random.nextInt(100)) }
-            val bytes = PeerFrame("mast-1", random.nextLong(1000), random.nextBoolean(), random.nextBoolean(), progress).encode().readByteArray()
+            val bytes = PeerFrame(
+                "mast-1", random.nextLong(1000), random.nextBoolean(), random.nextBoolean(), random.nextBoolean(), progress,
+            ).encode().readByteArray()
             val again = PeerFrame.decode(Buffer().write(bytes))
             assertEquals(progress.mapValues { it.value.done to it.value.running }, again.progress.mapValues { it.value.done to it.value.running })
             for (length in bytes.indices) {
--- a/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -100,12 +100,14 @@
 
     private suspend fun TestScope.faults(world: SimWorld) {
         world.networkLoss = 0.02
+        world.lateCopies = 0.05
         world.store.lostAnswers = 0.02
         while (testScheduler.currentTime < FAULTS_MILLIS) {
             delay(world.random.nextLong(2_000, 9_000))
             fault(world, backgroundScope)
         }
         world.networkLoss = 0.0
+        world.lateCopies = 0.0
         world.store.lostAnswers = 0.0
     }
 
@@ -113,7 +115,7 @@
         val random = world.random
         val node = random.nextInt(3)
         val machine = world.workers.values.random(random)
-        when (random.nextInt(9)) {
+        when (random.nextInt(13)) {
             0, 1 -> scope.launch { restart(world, node, random.nextLong(100, 4_000)) }
             2 -> repeat(3) { at -> scope.launch { restart(world, at, random.nextLong(500, 4_000)) } }
             3 -> if (!world.store.outage) scope.launch {
@@ -138,6 +140,25 @@
                 delay(random.nextLong(5_000, 20_000))
                 machine.sick = false
             }
+            9 -> scope.launch {
+                machine.deaf = true
+                delay(random.nextLong(5_000, 40_000))
+                machine.deaf = false
+            }
+            // The store and the other controllers are lost, the workers are not.
+            10 -> scope.launch {
+                world.store.refused += "mast-$node"
+                world.alone += node
+                delay(random.nextLong(5_000, 40_000))
+                world.alone -= node
+                world.store.refused -= "mast-$node"
+            }
+            11 -> scope.launch {
+                world.cutFromWorkers += node
+                delay(random.nextLong(5_000, 30_000))
+                world.cutFromWorkers -= node
+            }
+            12 -> repeat(3) { at -> scope.launch { restart(world, at, random.nextLong(30, 400)) } }
         }
     }
 
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -137,6 +137,12 @@
             return nextHold
         }
 
+        override suspend fun endHold(hold: Long) {
+            enter()
+            holds[hold]?.endsMicros = clock.nowMicros()
+            expire()
+        }
+
         override suspend fun renewHold(hold: Long): Boolean {
             enter()
             val known = holds[hold] ?: return false
--- a/src/test/kotlin/linemast/simulation/SimWorker.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -31,6 +31,9 @@
     var gone = false
     var hungUntilMicros = 0L
     var sick = false
+
+    /** Its reports get through, the answers to them do not. */
+    var deaf = false
     private var watch = 1L
     private var tick = 0L
     private var helm = 0L
@@ -131,7 +134,15 @@
             delay(4_000)
             return next()
         }
+        if (random.nextDouble() < world.lateCopies) world.scope.launch {
+            delay(random.nextLong(1_000, 30_000))
+            withTimeoutOrNull(4_000) { world.send(random.nextInt(3), "POST", "/agent/beat", body) }
+        }
         val reply = withTimeoutOrNull(4_000) { world.send(node, "POST", "/agent/beat", body) }
+        if (deaf) {
+            delay(4_000)
+            return next()
+        }
         if (reply == null || random.nextDouble() < world.networkLoss) {
             delay(1_000)
             return next()
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -62,6 +62,15 @@
     val store = SimStore(scope, clock, random)
     val cutOff = HashSet<Int>()
     var networkLoss = 0.0
+
+    /** Share of reports of which a copy arrives later, up to several leases. */
+    var lateCopies = 0.0
+
+    /** Controllers that hear no other and are heard by none. */
+    val alone = HashSet<Int>()
+
+    /** Controllers that workers do not get through to. */
+    val cutFromWorkers = HashSet<Int>()
     var starts = 0
         private set
     private val cloud = SimCloud(this, types)
@@ -89,7 +98,7 @@
             delay(1_000)
             val frame = nodes[from]?.frame() ?: continue
             for (to in 0..2) {
-                if (to == from || random.nextDouble() < networkLoss) continue
+                if (to == from || from in alone || to in alone || random.nextDouble() < networkLoss) continue
                 val late = if (random.nextInt(20) == 0) random.nextLong(20_000) else random.nextLong(1, 50)
                 scope.launch {
                     delay(late)
@@ -130,7 +139,7 @@
 
     suspend fun send(at: Int, method: String, path: String, body: ByteArray): HttpResponse? {
         delay(random.nextLong(1, 10))
-        if (at in cutOff) {
+        if (at in cutOff || (at in cutFromWorkers && path == "/agent/beat")) {
             delay(4_000)
             return null
         }
