--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -299,6 +299,7 @@
         if (!job.failedOn.add(machine.name) && !machine.failedJobs.add(job.id)) return
         machine.failedJobs += job.id
         job.failures++
+        log.debug("{}: failed on {}, {} times in all", job.id, machine.name, job.failures)
         // A job that fails wherever it goes was submitted with a mistake; a machine that fails all is broken.
         val wait = minOf(MAX_BACK_OFF_MICROS, BACK_OFF_MICROS shl minOf(job.failures - 1, 6))
         if (job.failures >= FAILURES_OF_A_BAD_JOB) job.backOffUntilMicros = nowMicros + wait
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -110,7 +110,16 @@
     private fun isReady(job: Job, nowMicros: Long): Boolean {
         if (job.opened == Job.Opened.NO) cluster.open(job)
         if (nowMicros < job.backOffUntilMicros) cluster.dirty = true
-        return startable(job, nowMicros)
+        if (startable(job, nowMicros)) return true
+        held(
+            job,
+            when {
+                nowMicros < job.backOffUntilMicros -> "has failed ${job.failures} times"
+                !cluster.isSettledFor(job) -> "may run unseen"
+                else -> "not opened yet"
+            },
+        )
+        return false
     }
 
     private fun roomInTeam(job: Job): Int = cluster.usage.room(
@@ -125,7 +134,7 @@
      */
     private fun keptInTeam(job: Job, amount: (JobSpec) -> Double): Double {
         val waiting = cluster.jobs.values
-            .filter { it.heldBy == TEAM_LIMIT && it.spec.crew == job.spec.crew && it.spec.urgency < job.spec.urgency && it.pendingCount > 0 }
+            .filter { it.spec.isGang && it.heldBy == TEAM_LIMIT && it.spec.crew == job.spec.crew && it.spec.urgency < job.spec.urgency && it.pendingCount > 0 }
             .sumOf { it.pendingCount * amount(it.spec) }
         val next = latestGangs[job.spec.crew]?.takeIf { it.urgency < job.spec.urgency } ?: return waiting
         return maxOf(waiting, next.pieces * amount(next))
@@ -134,7 +143,7 @@
     /** Starts tasks of a sweep, at most [ownedSlots] side by side on owned machines. */
     private fun placeSweep(job: Job, ownedSlots: Int, nowMicros: Long) {
         var left = minOf(roomInTeam(job), job.pendingCount)
-        if (left == 0) return
+        if (left == 0) return held(job, TEAM_LIMIT)
         val places = PlaceRules(job)
         var index = job.nextPending(0)
         var ownedLeft = if (ownedSlots == Int.MAX_VALUE) ownedSlots else ownedSlots - job.placements.count { it.machine.owned }
@@ -148,8 +157,12 @@
                 if (machine.owned) ownedLeft--
                 index = job.nextPending(index + 1)
             }
-            if (left == 0 || index < 0) return
+            if (left == 0 || index < 0) {
+                job.heldBy = null
+                return
+            }
         }
+        if (ownedSlots == Int.MAX_VALUE) held(job, if (usable(job, nowMicros).isEmpty()) "no machine to use" else "no room")
     }
 
     private fun placeGang(job: Job, nowMicros: Long) {
@@ -194,7 +207,7 @@
         }
     }
 
-    /** Logs once why a gang has to wait, each time the reason changes. */
+    /** Logs once why a job has to wait, each time the reason changes. */
     private fun held(job: Job, reason: String) {
         if (job.heldBy == reason) return
         job.heldBy = reason
