--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -42,6 +42,7 @@
         scarce.learn(jobs.map { it.job.spec }, cluster.types.values, nowMicros)
         for (ranked in jobs) if (ranked.job.spec.isGang) latestGangs[ranked.job.spec.crew] = ranked.job.spec
         val ready = jobs.map { it.job }.filter { it.pendingCount > 0 && isReady(it, nowMicros) }
+        begin(ready, nowMicros)
         // First what is booked on owned machines, then whatever is left over.
         for (job in ready) if (job.spec.isGang) placeGang(job, nowMicros) else placeSweep(job, cluster.bookings(job), nowMicros)
         for (job in ready) if (!job.spec.isGang && job.pendingCount > 0) placeSweep(job, Int.MAX_VALUE, nowMicros)
@@ -54,6 +55,49 @@
         }
     }
 
+    /**
+     * Jobs that have waited for long without a start go first, the oldest before all: no order of urgency, aims
+     * or team limits may starve one. Sweeps begin with a few tasks, gangs have machines gathered for them.
+     */
+    private fun begin(ready: List<Job>, nowMicros: Long) {
+        val wall = cluster.wallMicros()
+        for (job in ready) {
+            val begun = job.doneCount > 0 || job.placements.any { !it.isAssigned }
+            job.waitsLong = !begun && wall - job.acceptedWallMicros > BEGIN_MICROS
+        }
+        var gathers = true
+        for (job in ready.filter { it.waitsLong }.sortedBy { it.acceptedWallMicros }) {
+            if (!job.spec.isGang) {
+                placeSweep(job, Int.MAX_VALUE, nowMicros, FIRST_TASKS)
+                continue
+            }
+            placeGang(job, nowMicros)
+            // One at a time: two that each hold half of what both need would wait for ever.
+            if (gathers && job.placements.isEmpty() && job.heldBy == NO_ROOM && gather(job, nowMicros)) gathers = false
+        }
+    }
+
+    /** Keeps the machines that will be free first for all tasks of a gang; false if there are not enough. */
+    private fun gather(job: Job, nowMicros: Long): Boolean {
+        val free = usable(job, nowMicros).filter { it.reservedFor == null || it.reservedFor === job }
+        val groups = if (job.spec.samePlace) free.groupBy { it.yard }.values else listOf(free)
+        val chosen = groups.map { group -> group.sortedBy { freeAfterMicros(it, nowMicros) }.take(job.pendingCount) }
+            .filter { it.size == job.pendingCount }
+            .minByOrNull { group -> group.maxOf { freeAfterMicros(it, nowMicros) } } ?: return false
+        for (machine in free) if (machine.reservedFor === job && machine !in chosen) machine.reservedFor = null
+        for (machine in chosen) {
+            machine.reservedFor = job
+            machine.reservedUntilMicros = nowMicros + RESERVATION_MICROS
+        }
+        return true
+    }
+
+    private fun freeAfterMicros(machine: Machine, nowMicros: Long): Long = machine.placements.values.maxOfOrNull { placement ->
+        val job = placement.job ?: return Long.MAX_VALUE
+        val since = if (placement.isRunning) placement.runningSinceMicros else nowMicros
+        (since + cluster.times.estimateMicros(job) - nowMicros).coerceAtLeast(0)
+    } ?: 0L
+
     /**
      * Stops what other teams run beyond their guarantees, and less urgent work, for a job within its own.
      *
@@ -133,16 +177,18 @@
      * the next one, since stopping tasks for it would lose more than the room left free.
      */
     private fun keptInTeam(job: Job, amount: (JobSpec) -> Double): Double {
-        val waiting = cluster.jobs.values
-            .filter { it.spec.isGang && it.heldBy == TEAM_LIMIT && it.spec.crew == job.spec.crew && it.spec.urgency < job.spec.urgency && it.pendingCount > 0 }
+        if (job.waitsLong) return 0.0
+        val waiting = cluster.jobs.values.filter { it.spec.isGang && it !== job && it.spec.crew == job.spec.crew && it.heldBy == TEAM_LIMIT }
+            .filter { it.pendingCount > 0 && (it.waitsLong || it.spec.urgency < job.spec.urgency) }
             .sumOf { it.pendingCount * amount(it.spec) }
         val next = latestGangs[job.spec.crew]?.takeIf { it.urgency < job.spec.urgency } ?: return waiting
-        return maxOf(waiting, next.pieces * amount(next))
+        val most = (cluster.usage.team(next.crew)?.cpusMax ?: 0.0) * MOST_KEPT
+        return if (next.pieces * next.vcpus > most) waiting else maxOf(waiting, next.pieces * amount(next))
     }
 
     /** Starts tasks of a sweep, at most [ownedSlots] side by side on owned machines. */
-    private fun placeSweep(job: Job, ownedSlots: Int, nowMicros: Long) {
-        var left = minOf(roomInTeam(job), job.pendingCount)
+    private fun placeSweep(job: Job, ownedSlots: Int, nowMicros: Long, most: Int = Int.MAX_VALUE) {
+        var left = minOf(roomInTeam(job), job.pendingCount, most)
         if (left == 0) return held(job, TEAM_LIMIT)
         val places = PlaceRules(job)
         var index = job.nextPending(0)
@@ -162,7 +208,7 @@
                 return
             }
         }
-        if (ownedSlots == Int.MAX_VALUE) held(job, if (usable(job, nowMicros).isEmpty()) "no machine to use" else "no room")
+        if (ownedSlots == Int.MAX_VALUE) held(job, if (usable(job, nowMicros).isEmpty()) "no machine to use" else NO_ROOM)
     }
 
     private fun placeGang(job: Job, nowMicros: Long) {
@@ -187,7 +233,7 @@
             if (placeWhole(job, machines.filter { yard == null || it.yard in yard }, missing)) return
         }
         for (yard in yards) if (makeRoom(job, yard, missing, nowMicros)) return held(job, "room being made")
-        held(job, "no room")
+        held(job, NO_ROOM)
     }
 
     /** Stops less urgent work of the same team, the youngest first, when only the team's limit is in a gang's way. */
@@ -320,6 +366,12 @@
         const val IMAGE_MICROS = 2_000_000L
         const val GPU_WEIGHT = 16.0
         const val EPSILON = 1e-6
+        const val NO_ROOM = "no room"
+        const val FIRST_TASKS = 2
+        const val BEGIN_MICROS = 60_000_000L
+
+        /** No more of a team's limit than this share is kept for a gang that has not come yet. */
+        const val MOST_KEPT = 0.25
         const val TEAM_LIMIT = "its team's limit"
     }
 }
--- a/src/main/kotlin/linemast/workers/Job.kt
+++ b/src/main/kotlin/linemast/workers/Job.kt
@@ -52,6 +52,9 @@
     var gangRan = false
     /** Why it was last held back, for the log. */
     var heldBy: String? = null
+
+    /** Accepted long ago and no task of it has been started yet. */
+    var waitsLong = false
     var failures = 0
     val failedOn = HashSet<String>()
     var backOffUntilMicros = 0L
