--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -41,11 +41,19 @@
         val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, cluster.planner, cluster.wallMicros())
         scarce.learn(jobs.map { it.job.spec }, cluster.types.values, nowMicros)
         for (ranked in jobs) if (ranked.job.spec.isGang) latestGangs[ranked.job.spec.crew] = ranked.job.spec
-        val ready = jobs.map { it.job }.filter { it.pendingCount > 0 && isReady(it, nowMicros) }
-        begin(ready, nowMicros)
-        // First what is booked on owned machines, then whatever is left over.
-        for (job in ready) if (job.spec.isGang) placeGang(job, nowMicros) else placeSweep(job, cluster.bookings(job), nowMicros)
-        for (job in ready) if (!job.spec.isGang && job.pendingCount > 0) placeSweep(job, Int.MAX_VALUE, nowMicros)
+        val ready = jobs.filter { it.job.pendingCount > 0 && isReady(it.job, nowMicros) }
+        begin(ready.map { it.job }, nowMicros)
+        // First what is booked on owned machines, then whatever is left over. Within a guarantee there is no such bound:
+        // others' bookings would take the room again that tasks were stopped to make.
+        for (ranked in ready) {
+            val job = ranked.job
+            if (job.spec.isGang) {
+                placeGang(job, nowMicros)
+            } else {
+                placeSweep(job, if (ranked.guaranteed) Int.MAX_VALUE else cluster.bookings(job), nowMicros)
+            }
+        }
+        for (ranked in ready) ranked.job.let { if (!it.spec.isGang && it.pendingCount > 0) placeSweep(it, Int.MAX_VALUE, nowMicros) }
         val ending = HashSet<Placement>()
         for (ranked in jobs) {
             val job = ranked.job
