--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -122,7 +122,7 @@
         val victims = usable(job, nowMicros)
             .filter { it.reservedFor == null && !scarce.keepFree(spec, it, cluster.machines.values) }
             .flatMap { it.placements.values }
-            .filter { it.haltReason == null && !it.isAssigned && it.job !in safe && it.job?.spec?.isGang == false }
+            .filter { isStoppable(it) && it.job !in safe }
             .sortedByDescending { it.sentMicros }
         for (victim in victims) {
             if (missing <= 0) return
@@ -185,15 +185,21 @@
      * the next one, since stopping tasks for it would lose more than the room left free.
      */
     private fun keptInTeam(job: Job, amount: (JobSpec) -> Double): Double {
-        if (job.waitsLong) return 0.0
         val waiting = cluster.jobs.values.filter { it.spec.isGang && it !== job && it.spec.crew == job.spec.crew && it.heldBy == TEAM_LIMIT }
-            .filter { it.pendingCount > 0 && (it.waitsLong || it.spec.urgency < job.spec.urgency) }
+            .filter { it.pendingCount > 0 && comesBefore(it, job) }
             .sumOf { it.pendingCount * amount(it.spec) }
+        if (job.waitsLong) return waiting
         val next = latestGangs[job.spec.crew]?.takeIf { it.urgency < job.spec.urgency } ?: return waiting
         val most = (cluster.usage.team(next.crew)?.cpusMax ?: 0.0) * MOST_KEPT
         return if (next.pieces * next.vcpus > most) waiting else maxOf(waiting, next.pieces * amount(next))
     }
 
+    private fun comesBefore(gang: Job, job: Job): Boolean = when {
+        gang.waitsLong && job.waitsLong -> gang.acceptedWallMicros < job.acceptedWallMicros
+        gang.waitsLong || job.waitsLong -> gang.waitsLong
+        else -> gang.spec.urgency < job.spec.urgency
+    }
+
     /** Starts tasks of a sweep, at most [ownedSlots] side by side on owned machines. */
     private fun placeSweep(job: Job, ownedSlots: Int, nowMicros: Long, most: Int = Int.MAX_VALUE) {
         var left = minOf(roomInTeam(job), job.pendingCount, most)
@@ -205,7 +211,7 @@
             if (machine.owned && ownedLeft <= 0) continue
             if (scarce.keepFree(job.spec, machine, cluster.machines.values)) continue
             while (left > 0 && index >= 0 && machine.fits(job) && places.allows(machine.yard)) {
-                cluster.addAssigned(machine, job, index, cluster.nextAttempt())
+                cluster.addAssigned(machine, job, index, cluster.nextAttempt()).spared = job.waitsLong
                 places.add(machine.yard)
                 left--
                 if (machine.owned) ownedLeft--
@@ -251,7 +257,7 @@
         needed -= running.filter { it.haltReason != null }.sumOf { it.job?.spec?.vcpus ?: 0.0 }
         val stoppable = running.filter { placement ->
             val spec = placement.job?.spec ?: return@filter false
-            placement.haltReason == null && !placement.isAssigned && !spec.isGang && spec.urgency > job.spec.urgency
+            isStoppable(placement) && spec.urgency > job.spec.urgency
         }
         if (stoppable.sumOf { it.job?.spec?.vcpus ?: 0.0 } < needed) return
         for (placement in stoppable.sortedByDescending { it.sentMicros }) {
@@ -307,6 +313,9 @@
         return true
     }
 
+    private fun isStoppable(placement: Placement): Boolean =
+        placement.haltReason == null && !placement.isAssigned && !placement.spared && placement.job?.spec?.isGang == false
+
     /** How long [job] can wait for room and still start when its users expect it. */
     private fun patienceMicros(job: Job): Long {
         val aim = settings.objectives.filter { it.lane == job.spec.lane && it.kind == "wait" }.mapNotNull { it.withinMicros }.minOrNull() ?: 0
@@ -322,7 +331,7 @@
     private fun victims(job: Job, machine: Machine, window: Long, nowMicros: Long): List<Placement>? {
         val stoppable = machine.placements.values.filter { other ->
             val spec = other.job?.spec ?: return@filter false
-            spec.urgency > job.spec.urgency && !spec.isGang
+            spec.urgency > job.spec.urgency && !spec.isGang && !other.spared
         }
         var cpus = machine.freeVcpus
         val chosen = ArrayList<Placement>()
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -31,6 +31,9 @@
     var haltReason: String? = null
     var haltWindDownMicros = 0L
 
+    /** The first of a job after a long wait: not stopped to make room, or it might never get further. */
+    var spared = false
+
     /** The job it makes room for. */
     var haltedFor: Job? = null
 
