--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -236,18 +236,21 @@
             return
         }
         val missing = job.pendingCount
-        if (roomInTeam(job) < missing) {
-            makeRoomInTeam(job, missing)
-            return held(job, TEAM_LIMIT)
-        }
+        val withinLimit = roomInTeam(job) >= missing
         val machines = candidates(job, nowMicros).filter { "${it.name}#${job.gangAttempt}" !in job.clearedGang }
         // Zones of all machines that could be made free, not only of those that are: stopping others is what helps there.
         val yards = if (job.spec.samePlace) usable(job, nowMicros).map { it.yard }.distinct().map(::setOf) else listOf(null)
         for (yard in yards) {
-            if (placeWhole(job, machines.filter { yard == null || it.yard in yard }, missing)) return
+            val here = machines.filter { yard == null || it.yard in yard }
+            if (withinLimit && placeWhole(job, here, missing)) return
+            // Nothing is stopped for the team's limit before there is a place to use it.
+            if (!withinLimit && here.sumOf { it.roomFor(job.spec) } >= missing) {
+                makeRoomInTeam(job, missing)
+                return held(job, TEAM_LIMIT)
+            }
         }
-        for (yard in yards) if (makeRoom(job, yard, missing, nowMicros)) return held(job, "room being made")
-        held(job, NO_ROOM)
+        val beingMade = yards.any { makeRoom(job, it, missing, nowMicros) }
+        held(job, if (!withinLimit) TEAM_LIMIT else if (beingMade) "room being made" else NO_ROOM)
     }
 
     /** Stops less urgent work of the same team, the youngest first, when only the team's limit is in a gang's way. */
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -135,6 +135,10 @@
     fun allows(spec: JobSpec): Boolean =
         type.takes(spec) && (spec.loaners || !loaners) && (spec.yard == null || spec.yard == yard)
 
+    /** Tasks of [spec] that could be put here now, by what it has most of: an upper bound that counts vcpus alone. */
+    fun roomFor(spec: JobSpec): Int =
+        if (spec.vcpus <= 0) Int.MAX_VALUE / 2 else Math.floor(freeVcpus / spec.vcpus + EPSILON).toInt().coerceAtLeast(0)
+
     fun fits(job: Job): Boolean = job.spec.let {
         it.vcpus <= type.vcpus - usedVcpus + EPSILON &&
             it.gpus <= type.gpus - usedGpus + EPSILON &&
