--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -367,6 +367,8 @@
                 { it.reservedFor !== job },
                 { scarce.isScarceFor(it.type, job.spec) },
                 { !it.owned },
+                // Cheap ones fill first, so that dear ones fall idle and can be returned.
+                { if (it.owned) 0.0 else it.pricePerVcpu },
                 { it.type.vcpus + it.type.gpus * GPU_WEIGHT },
                 { job.spec.bundle !in it.bundles },
                 { it.freeVcpus },
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -129,6 +129,8 @@
     var usedMemoryGb = 0.0
         private set
 
+    val pricePerVcpu: Double = (if (loaners) type.marketPrice else type.price) / type.vcpus
+
     val freeVcpus: Double get() = type.vcpus - usedVcpus
 
     /** Whether a task of [spec] may be here at all. */
