--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -21,8 +21,6 @@
     val doneThen: Int,
     /** Tasks by which the past interval fell short. */
     val topUp: Double,
-    /** A gang that waits for machines which are there already. */
-    val awaits: Boolean = false,
 ) {
     /** How many tasks should have been completed by [nowMicros]. */
     fun dueBy(nowMicros: Long): Double {
@@ -66,20 +64,14 @@
     fun plan(
         jobs: List<Job>,
         owned: Collection<Machine>,
-        all: Collection<Machine>,
         whole: Boolean,
         bootMicros: (Job) -> Long,
         wallMicros: Long,
         nowMicros: Long,
     ) {
         val forecast = Forecast(owned, nowMicros, policy.longIntervalMicros, INTERVALS, times)
-        val everywhere = Forecast(all, nowMicros, policy.longIntervalMicros, INTERVALS, times)
         for (job in jobs) {
             val standing = plans[job.id]
-            if (job.spec.isGang) {
-                if (whole || standing == null || standing.awaits) plans[job.id] = planGang(job, forecast, everywhere, wallMicros, nowMicros)
-                continue
-            }
             if (!whole && standing != null) {
                 standing.owned.forEachIndexed { i, tasks ->
                     forecast.book(job, i, tasks / JobPlan.slots(standing.intervalMicros, standing.taskMicros))
@@ -117,6 +109,9 @@
         }
         val total = throughput.sum()
         val tasks = toStart.toDouble()
+        if (job.spec.isGang) {
+            return planGang(job, forecast, tasks, task, nowMicros)
+        }
         for (i in usable) {
             owned[i] = if (total > 0) minOf(tasks * throughput[i] / total, throughput[i]) else 0.0
             forecast.book(job, i, owned[i] / JobPlan.slots(span(i), task))
@@ -132,37 +127,22 @@
         return JobPlan(nowMicros, interval, task, owned, rented, rentedSlots, backup, job.doneCount, topUp)
     }
 
-    /**
-     * A gang is planned whole, in one interval and on one side.
-     *
-     * On the machines that are there, owned or rented already, it takes the first interval in which it still
-     * starts within half of what its users allow it to wait; if there is none, machines are rented for it.
-     */
-    private fun planGang(job: Job, forecast: Forecast, everywhere: Forecast, wallMicros: Long, nowMicros: Long): JobPlan {
-        val interval = policy.longIntervalMicros
-        val tasks = (job.spec.pieces - job.doneCount - job.placements.count { !it.isAssigned }).coerceAtLeast(0).toDouble()
-        val task = times.estimateMicros(job)
+    /** A gang is planned whole, in the first interval, on the side that has room for it. */
+    private fun planGang(job: Job, forecast: Forecast, tasks: Double, task: Long, nowMicros: Long): JobPlan {
         val owned = DoubleArray(INTERVALS)
         val rented = DoubleArray(INTERVALS)
-        val latest = (waitAimMicros(job) / 2 - (wallMicros - job.acceptedWallMicros)) / interval
-        val start = (0..latest.coerceIn(0, INTERVALS - 1L).toInt()).firstOrNull { everywhere.roomFor(job, it) >= tasks }
-        val onOwned = start != null && forecast.roomFor(job, start) >= tasks
-        (if (onOwned) owned else rented)[start ?: 0] = tasks
-        if (start != null) {
-            val busy = (task + interval - 1) / interval
-            for (i in start until minOf(INTERVALS.toLong(), start + busy).toInt()) {
-                everywhere.book(job, i, tasks)
-                if (onOwned) forecast.book(job, i, tasks)
-            }
+        val fits = forecast.roomFor(job, 0) >= tasks
+        if (fits) {
+            owned[0] = tasks
+            forecast.book(job, 0, tasks)
+        } else {
+            rented[0] = tasks
         }
-        val slots = if (start == null) tasks else 0.0
-        val backup = if (onOwned && start == 0 && forecast.freeNow(job) < tasks) tasks else 0.0
-        return JobPlan(nowMicros, interval, task, owned, rented, slots, backup, job.doneCount, 0.0, awaits = start != null && tasks > 0)
+        val backup = if (fits && forecast.freeNow(job) < tasks) tasks else 0.0
+        val interval = policy.longIntervalMicros
+        return JobPlan(nowMicros, interval, task, owned, rented, rented[0], backup, job.doneCount, 0.0)
     }
 
-    private fun waitAimMicros(job: Job): Long =
-        settings.objectives.filter { it.lane == job.spec.lane && it.kind == "wait" }.mapNotNull { it.withinMicros }.minOrNull() ?: 0
-
     /** Rented throughput goes first where owned throughput is least, so that the sum is even. */
     private fun fillShortIntervals(usable: List<Int>, owned: DoubleArray, rented: DoubleArray, toRent: Double) {
         if (usable.isEmpty() || toRent <= 0) return
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -36,11 +36,9 @@
         repeat(arrived) { demand.arrived(nowMicros) }
         val fresh = arrived > 0
         val whole = plannedMicros == Long.MIN_VALUE || nowMicros - plannedMicros >= policy.longIntervalMicros
-        // A gang that waits for machines in use is planned anew at each look: they may come free later than was thought.
-        val looks = lookedMicros == Long.MIN_VALUE || nowMicros - lookedMicros >= policy.shortIntervalMicros
-        val waiting = looks && jobs.any { it.pendingCount > 0 && planner.planOf(it)?.awaits == true }
-        if (fresh || whole || waiting) plan(jobs, whole, wallMicros, nowMicros)
-        if (!fresh && !whole && !looks) return NOTHING
+        if (fresh || whole) plan(jobs, whole, wallMicros, nowMicros)
+        val waited = lookedMicros == Long.MIN_VALUE || nowMicros - lookedMicros >= policy.shortIntervalMicros
+        if (!fresh && !whole && !waited) return NOTHING
         lookedMicros = nowMicros
         return look(jobs, nowMicros)
     }
@@ -52,8 +50,7 @@
 
     private fun plan(jobs: List<Job>, whole: Boolean, wallMicros: Long, nowMicros: Long) {
         val owned = cluster.machines.values.filter { isOwned(it.name) && !it.draining && nowMicros < it.leaseEndMicros }
-        val all = cluster.machines.values.filter { !it.draining && nowMicros < it.leaseEndMicros }
-        planner.plan(jobs, owned, all, whole, ::bootMicros, wallMicros, nowMicros)
+        planner.plan(jobs, owned, whole, ::bootMicros, wallMicros, nowMicros)
         known.clear()
         jobs.forEach { known += it.id }
         planner.forget(known)
@@ -74,7 +71,7 @@
     private fun look(jobs: List<Job>, nowMicros: Long): CloudActions {
         val wishes = planner.wishes(jobs, { isOwned(it.name) }, nowMicros)
         val rentals = fleet.toRent(wishes, cluster.types.values, cluster.machines, ::allowance, nowMicros)
-        val wanted = wishes.filter { it.slots >= 1.0 || planner.planOf(it.job)?.awaits == true }
+        val wanted = wishes.filter { it.slots >= 1.0 }
         val planned = plannedMachines(wanted.map { it.job }, jobs)
         val returns = fleet.toReturn(cluster.machines, planned, demand.hasCeased(nowMicros), nowMicros)
         for ((name, reason) in returns) log.info("returning {}: {}", name, reason)
--- a/src/test/kotlin/linemast/planning/PlannerTest.kt
+++ b/src/test/kotlin/linemast/planning/PlannerTest.kt
@@ -59,8 +59,8 @@
         val machine = Machine("host-1", type, "z", false)
         val planner = planner()
         val job = job("req-1", 16, guessS = 30, dueS = 300)
-        planner.plan(listOf(job), listOf(machine), listOf(machine), true, { 0L }, 0L, 0L)
-        planner.plan(listOf(job), listOf(machine), listOf(machine), true, { 0L }, 60_000_000L, 60_000_000L)
+        planner.plan(listOf(job), listOf(machine), true, { 0L }, 0L, 0L)
+        planner.plan(listOf(job), listOf(machine), true, { 0L }, 60_000_000L, 60_000_000L)
         val plan = requireNotNull(planner.planOf(job))
         assertTrue(plan.topUp > 3.0, "top-up ${plan.topUp}")
         assertEquals(plan.topUp, plan.rented.sum(), 1e-6)
@@ -77,7 +77,7 @@
         }
         val planner = planner()
         val job = job("req-1", 8, guessS = 30, dueS = 60)
-        planner.plan(listOf(job), listOf(machine), listOf(machine), true, { 0L }, 0L, 0L)
+        planner.plan(listOf(job), listOf(machine), true, { 0L }, 0L, 0L)
         val backed = planner.wishes(listOf(job), { it === machine }, 0L).single().slots
         assertTrue(backed > 0.0)
         repeat(8) { index ->
@@ -90,7 +90,7 @@
 
     private fun plan(job: Job, machines: List<Machine>): JobPlan {
         val planner = planner()
-        planner.plan(listOf(job), machines, machines, true, { 0L }, 0L, 0L)
+        planner.plan(listOf(job), machines, true, { 0L }, 0L, 0L)
         return requireNotNull(planner.planOf(job))
     }
 
