--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -120,7 +120,9 @@
         val toRent = (tasks - owned.sum() + topUp).coerceIn(0.0, tasks)
         fillShortIntervals(usable, owned, rented, toRent)
         // Rented machines must first boot; what is left until the deadline tells how many are needed at once.
-        val rentedSpan = maxOf(dueMicros - bootMicros, task)
+        // What no rented machine can end in time is not worth one for each task: it is spread over a longer span.
+        val tooLate = dueMicros - bootMicros < task
+        val rentedSpan = if (tooLate) maxOf(LATE_INTERVALS * interval, task) else dueMicros - bootMicros
         val rentedSlots = toRent / Math.floor(rentedSpan.toDouble() / task).coerceAtLeast(1.0)
         val firstSlots = owned[0] / JobPlan.slots(span(0), task)
         val backup = (firstSlots - forecast.freeNow(job)).coerceAtLeast(0.0)
@@ -178,5 +180,6 @@
     private companion object {
         const val INTERVALS = 10
         const val IMPLIED_RUNS = 3
+        const val LATE_INTERVALS = 2
     }
 }
