--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -42,6 +42,7 @@
         scarce.learn(jobs.map { it.job.spec }, cluster.types.values, nowMicros)
         for (ranked in jobs) if (ranked.job.spec.isGang) latestGangs[ranked.job.spec.crew] = ranked.job.spec
         val ready = jobs.filter { it.job.pendingCount > 0 && isReady(it.job, nowMicros) }
+        for (ranked in jobs) ranked.job.guaranteed = ranked.guaranteed
         begin(ready.map { it.job }, nowMicros)
         // First what is booked on owned machines, then whatever is left over. Within a guarantee there is no such bound:
         // others' bookings would take the room again that tasks were stopped to make.
@@ -366,6 +367,8 @@
             compareBy(
                 { it.reservedFor !== job },
                 { scarce.isScarceFor(it.type, job.spec) },
+                // Within a guarantee there is no time to fetch an image that another machine has.
+                { job.guaranteed && job.spec.bundle !in it.bundles },
                 { !it.owned },
                 // Cheap ones fill first, so that dear ones fall idle and can be returned.
                 { if (it.owned) 0.0 else it.pricePerVcpu },
--- a/src/main/kotlin/linemast/workers/Job.kt
+++ b/src/main/kotlin/linemast/workers/Job.kt
@@ -53,6 +53,9 @@
     /** Why it was last held back, for the log. */
     var heldBy: String? = null
 
+    /** Within its team's guarantee, together with the team's earlier jobs. */
+    var guaranteed = false
+
     /** Accepted long ago and no task of it has been started yet. */
     var waitsLong = false
     var failures = 0
