--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -437,8 +437,6 @@
                     { !it.guaranteed },
                     { it.job.spec.urgency.ordinal },
                     { planner.aims.missed(it.job, wallMicros) },
-                    // Of those that can be in time the smallest first: so most of them are, when there is not room for all.
-                    { planner.workLeft(it.job) },
                     { planner.dueWallMicros(it.job) },
                 ),
             )
--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -85,10 +85,6 @@
 
     fun dueWallMicros(job: Job): Long = job.acceptedWallMicros + (job.spec.dueMicros ?: impliedDueMicros(job))
 
-    /** Core seconds that a sweep still needs; none for a gang, which is placed whole or not at all. */
-    fun workLeft(job: Job): Double =
-        if (job.spec.isGang) 0.0 else (job.spec.pieces - job.doneCount) * job.spec.vcpus * times.estimateMicros(job) / 1e6
-
     /** A job without a deadline is planned as if due when the users' aims for its lane say. */
     private fun impliedDueMicros(job: Job): Long {
         val lane = settings.objectives.filter { it.lane == job.spec.lane && it.withinMicros != null }
