--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -92,6 +92,7 @@
         types: Collection<MachineType>,
         workers: Map<String, Machine>,
         allowance: (Job) -> Double,
+        closed: (MachineType, Boolean, Job) -> Boolean,
         nowMicros: Long,
     ): List<RentRequest> {
         val supply = supply(workers, nowMicros)
@@ -99,10 +100,11 @@
         var rentedVcpus = supply.sumOf { it.type.vcpus }
         for (wish in wishes) {
             var left = minOf(wish.slots, allowance(wish.job))
-            for (room in supply) left -= room.take(wish.job, left)
+            for (room in supply) if (!closed(room.type, room.loaners, wish.job)) left -= room.take(wish.job, left)
             if (left < LEAST_WISH) continue
             for (offer in offers(wish.job, types, nowMicros)) {
                 val type = types.first { it.name == offer.build }
+                if (closed(type, offer.loaners, wish.job)) continue
                 val perMachine = Math.floor(type.vcpus / wish.job.spec.vcpus + EPSILON)
                 var wanted = Math.ceil(left / perMachine - EPSILON).toInt().coerceIn(0, MAX_NUMBER)
                 wanted = minOf(wanted, ((policy.mostRentedVcpus - rentedVcpus) / type.vcpus).toInt())
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -432,6 +432,9 @@
     /** Whether no unseen task of [job] can be on a machine: those that cannot hold one need not be waited for. */
     fun isSettledFor(job: Job): Boolean = !unsettled || !job.unseen
 
+    /** Machines that fit a job and are yet kept from it do not count as room for it, neither there nor to be rented. */
+    fun isClosedTo(type: MachineType, loaners: Boolean, job: Job): Boolean = placer.isClosedTo(type, loaners, job.spec)
+
     /** Which machines are owned is known by the fleet. */
     fun markOwned(names: Set<String>) {
         machines.values.forEach { it.owned = it.name in names }
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -1,5 +1,6 @@
 package linemast.placement
 
+import linemast.cloud.MachineType
 import linemast.jobs.JobSpec
 import linemast.planning.Planner
 import linemast.settings.Settings
@@ -28,6 +29,9 @@
     /** From the decision to stop a task until another runs in its place: two reports and an image. */
     private val reactionMicros = minOf(settings.workers.reportMicros * 2 + IMAGE_MICROS, guaranteeMicros / 2)
 
+    /** Whether no task of [spec] is ever put on such a machine, although it would fit. */
+    fun isClosedTo(type: MachineType, loaners: Boolean, spec: JobSpec): Boolean = scarce.isClosedTo(type, loaners, spec)
+
     fun startable(job: Job, nowMicros: Long): Boolean =
         job.opened == Job.Opened.YES && !job.withdrawn && !job.finished &&
             nowMicros >= job.backOffUntilMicros && cluster.isSettledFor(job)
@@ -366,7 +370,7 @@
         .sortedWith(
             compareBy(
                 { it.reservedFor !== job },
-                { scarce.isScarceFor(it.type, job.spec) },
+                { scarce.isScarceFor(it.type, it.loaners, job.spec) },
                 // Within a guarantee there is no time to fetch an image that another machine has.
                 { job.guaranteed && job.spec.bundle !in it.bundles },
                 { !it.owned },
--- a/src/main/kotlin/linemast/placement/ScarceTypes.kt
+++ b/src/main/kotlin/linemast/placement/ScarceTypes.kt
@@ -30,21 +30,28 @@
         }
     }
 
-    /** Whether other lanes need [type] more than [spec] does. */
-    fun isScarceFor(type: MachineType, spec: JobSpec): Boolean =
-        needs[spec.lane]?.typeNames?.contains(type.name) != true && needs.values.any { type.name in it.typeNames }
+    /** Whether other lanes need machines of [type] more than [spec] does; spot ones are needed by those that may use them. */
+    fun isScarceFor(type: MachineType, loaners: Boolean, spec: JobSpec): Boolean = others(type, loaners, spec).isNotEmpty()
+
+    /** Whether work of [spec], once on such a machine, could not be stopped for those that need it: it must not get there. */
+    fun isClosedTo(type: MachineType, loaners: Boolean, spec: JobSpec): Boolean =
+        others(type, loaners, spec).any { it.spec.urgency >= spec.urgency }
 
     /** Whether [machine] had better not take a task of [spec]. */
     fun keepFree(spec: JobSpec, machine: Machine, machines: Collection<Machine>): Boolean {
-        if (!isScarceFor(machine.type, spec)) return false
-        val others = needs.values.filter { machine.type.name in it.typeNames }
-        // Work that could not be stopped for such a job must not get in its way at all.
+        val others = others(machine.type, machine.loaners, spec)
+        if (others.isEmpty()) return false
         if (others.any { it.spec.urgency >= spec.urgency }) return true
         if (machine.placements.isNotEmpty()) return false
         val idle = machines.count { it.type.name in others.first().typeNames && it.placements.isEmpty() && !it.draining }
         return idle <= KEPT_IDLE
     }
 
+    private fun others(type: MachineType, loaners: Boolean, spec: JobSpec): List<Need> {
+        if (needs[spec.lane]?.typeNames?.contains(type.name) == true) return emptyList()
+        return needs.values.filter { type.name in it.typeNames && (it.spec.loaners || !loaners) }
+    }
+
     private companion object {
         const val MEMORY_MICROS = 900_000_000L
         const val KEPT_IDLE = 1
--- a/src/main/kotlin/linemast/planning/Forecast.kt
+++ b/src/main/kotlin/linemast/planning/Forecast.kt
@@ -1,5 +1,6 @@
 package linemast.planning
 
+import linemast.cloud.MachineType
 import linemast.workers.Job
 import linemast.workers.Machine
 
@@ -14,6 +15,7 @@
     val intervalMicros: Long,
     val intervals: Int,
     times: TaskTimes,
+    private val closed: (MachineType, Boolean, Job) -> Boolean,
 ) {
     private class Row(val machine: Machine, val room: DoubleArray, val freeNow: Double)
 
@@ -36,12 +38,12 @@
 
     /** Tasks of [job] that may run side by side in interval [i], going by what is left on each machine. */
     fun roomFor(job: Job, i: Int): Double = rows.sumOf { row ->
-        if (row.machine.allows(job.spec)) Math.floor(row.room[i] / job.spec.vcpus + EPSILON) else 0.0
+        if (isOpen(row.machine, job)) Math.floor(row.room[i] / job.spec.vcpus + EPSILON) else 0.0
     }
 
     /** Tasks of [job] that could start at once. */
     fun freeNow(job: Job): Double = rows.sumOf { row ->
-        if (row.machine.allows(job.spec)) Math.floor(row.freeNow / job.spec.vcpus + EPSILON) else 0.0
+        if (isOpen(row.machine, job)) Math.floor(row.freeNow / job.spec.vcpus + EPSILON) else 0.0
     }
 
     /** Takes room for [tasks] tasks side by side in interval [i]. */
@@ -49,13 +51,15 @@
         var left = tasks * job.spec.vcpus
         for (row in rows.sortedBy { it.machine.type.vcpus }) {
             if (left <= 0) return
-            if (!row.machine.allows(job.spec)) continue
+            if (!isOpen(row.machine, job)) continue
             val taken = minOf(left, row.room[i])
             row.room[i] -= taken
             left -= taken
         }
     }
 
+    private fun isOpen(machine: Machine, job: Job) = machine.allows(job.spec) && !closed(machine.type, machine.loaners, job)
+
     private companion object {
         const val EPSILON = 1e-6
     }
--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -1,5 +1,6 @@
 package linemast.planning
 
+import linemast.cloud.MachineType
 import linemast.settings.Settings
 import linemast.workers.Job
 import linemast.workers.Machine
@@ -68,8 +69,9 @@
         bootMicros: (Job) -> Long,
         wallMicros: Long,
         nowMicros: Long,
+        closed: (MachineType, Boolean, Job) -> Boolean = { _, _, _ -> false },
     ) {
-        val forecast = Forecast(owned, nowMicros, policy.longIntervalMicros, INTERVALS, times)
+        val forecast = Forecast(owned, nowMicros, policy.longIntervalMicros, INTERVALS, times, closed)
         for (job in jobs) {
             val standing = plans[job.id]
             if (!whole && standing != null) {
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -50,7 +50,7 @@
 
     private fun plan(jobs: List<Job>, whole: Boolean, wallMicros: Long, nowMicros: Long) {
         val owned = cluster.machines.values.filter { isOwned(it.name) && !it.draining && nowMicros < it.leaseEndMicros }
-        planner.plan(jobs, owned, whole, ::bootMicros, wallMicros, nowMicros)
+        planner.plan(jobs, owned, whole, ::bootMicros, wallMicros, nowMicros, cluster::isClosedTo)
         known.clear()
         jobs.forEach { known += it.id }
         planner.forget(known)
@@ -70,7 +70,7 @@
 
     private fun look(jobs: List<Job>, nowMicros: Long): CloudActions {
         val wishes = planner.wishes(jobs, { isOwned(it.name) }, nowMicros)
-        val rentals = fleet.toRent(wishes, cluster.types.values, cluster.machines, ::allowance, nowMicros)
+        val rentals = fleet.toRent(wishes, cluster.types.values, cluster.machines, ::allowance, cluster::isClosedTo, nowMicros)
         val wanted = wishes.filter { it.slots >= 1.0 }
         val planned = plannedMachines(wanted.map { it.job }, jobs)
         val returns = fleet.toReturn(cluster.machines, planned, demand.hasCeased(nowMicros), nowMicros)
@@ -81,7 +81,7 @@
     /** Machines that waiting jobs could still use: rented ones if a plan rents for such a job, owned ones for any. */
     private fun plannedMachines(renting: List<Job>, all: List<Job>): Set<String> = cluster.machines.values.filter { machine ->
         val users = if (isOwned(machine.name)) all else renting
-        users.any { it.pendingCount > 0 && machine.type.takes(it.spec) && (it.spec.loaners || !machine.loaners) }
+        users.any { it.pendingCount > 0 && machine.allows(it.spec) && !cluster.isClosedTo(machine.type, machine.loaners, it) }
     }.mapTo(HashSet()) { it.name }
 
     /** No more is rented for a job than its team may use at once. */
