Passes when a machine is usable again or a reservation ends; long waits keep the order of aims

Three causes, the first two found by ClusterTest, each a stall until something else happened: no pass followed when a machine began to hear, nor when a reservation was over.

--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -166,7 +166,9 @@
         val newer = machine.isNewer(report)
         // A late copy or a report overtaken by a newer one: its worker does not wait for this answer any more.
         if (!newer && !machine.restarted(report, nowMicros, answeredWithinMicros)) return emptyList()
+        val usable = machine.hears && machine.helm >= helm
         machine.heardAgain(report, nowMicros, answeredWithinMicros)
+        if (!usable && machine.hears && report.helm >= helm) dirty = true
         if (!newer || report.watch > machine.watch) endSession(machine)
         machine.watch = report.watch
         machine.tick = report.tick
@@ -373,6 +375,7 @@
                 machine.ended.clear()
             }
         }
+        releaseReservations(nowMicros)
         settle(nowMicros)
         val unrecorded = machines.values.filter { !it.onRecord && it.reportedMicros > 0 }
         if (unrecorded.isNotEmpty()) effects.storeMachines(unrecorded)
@@ -380,6 +383,16 @@
         if (dirty && nowMicros - lastPassMicros >= PASS_MICROS) pass(nowMicros)
     }
 
+    /** Those that are over, or whose job has no more need: nothing else would have the machines looked at again. */
+    private fun releaseReservations(nowMicros: Long) {
+        for (machine in machines.values) {
+            val job = machine.reservedFor ?: continue
+            if (nowMicros < machine.reservedUntilMicros && jobs[job.id] === job && !job.withdrawn && job.pendingCount > 0) continue
+            machine.reservedFor = null
+            dirty = true
+        }
+    }
+
     private fun follow(job: Job, nowMicros: Long) {
         if (job.withdrawn) {
             if (isSettledFor(job) && job.placements.isEmpty() && !job.writingDone) effects.dropWithdrawn(job)
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -39,7 +39,6 @@
     fun pass(nowMicros: Long) {
         for (machine in cluster.machines.values) {
             machine.placements.values.filter { it.isAssigned }.forEach(cluster::remove)
-            if (nowMicros >= machine.reservedUntilMicros) machine.reservedFor = null
         }
         cluster.dirty = false
         val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, cluster.planner, cluster.wallMicros())
@@ -69,8 +68,9 @@
     }
 
     /**
-     * Jobs that have waited for long without a start go first, the oldest before all: no order of urgency, aims
-     * or team limits may starve one. Sweeps begin with a few tasks, gangs have machines gathered for them.
+     * Jobs that have waited for long without a start go first: no urgency or team limit may starve one. Sweeps
+     * begin with a few tasks, gangs have machines gathered for them. Among each other they keep their order, so that
+     * those that have missed their aims do not make the next ones miss as well.
      */
     private fun begin(ready: List<Job>, nowMicros: Long) {
         val wall = cluster.wallMicros()
@@ -79,7 +79,8 @@
             job.waitsLong = !begun && wall - job.acceptedWallMicros > BEGIN_MICROS
         }
         var gathers = true
-        for (job in ready.filter { it.waitsLong }.sortedBy { it.acceptedWallMicros }) {
+        for (job in ready) {
+            if (!job.waitsLong) continue
             if (!job.spec.isGang) {
                 placeSweep(job, Int.MAX_VALUE, nowMicros, FIRST_TASKS)
                 continue
--- /dev/null
+++ b/src/test/kotlin/linemast/placement/ClusterFixture.kt
@@ -0,0 +1,111 @@
+package linemast.placement
+
+import linemast.cloud.MachineType
+import linemast.jobs.JobSpec
+import linemast.jobs.OpenRecord
+import linemast.planning.Planner
+import linemast.planning.Policy
+import linemast.planning.TaskTimes
+import linemast.testSettings
+import linemast.wire.Fields
+import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.Order
+import linemast.workers.PieceId
+import linemast.workers.PieceReport
+import linemast.workers.PieceStatus
+import linemast.workers.Report
+
+/** A leader's cluster state with workers played by hand; the store takes everything at once. */
+internal class ClusterFixture(val helm: Long = 5, teams: String = TEAM, recorded: List<String> = emptyList(), open: List<OpenRecord> = emptyList()) {
+    var now = 1_000_000L
+    private val settings = testSettings(teams)
+    private val times = TaskTimes()
+    private val effects = object : Effects {
+        override fun storeOpened(job: Job) {
+            job.opened = Job.Opened.YES
+        }
+
+        override fun storeDone(job: Job) {
+            job.dirtyParts.clear()
+            if (job.isDone) cluster.jobs.remove(job.id)
+        }
+
+        override fun storeMachines(machines: List<Machine>) = machines.forEach { it.onRecord = true }
+
+        override fun dropWithdrawn(job: Job) = Unit
+    }
+    val cluster: Cluster = Cluster(settings, helm, GRACE_MICROS, effects, times, Planner(settings, Policy(), times)) { now }
+
+    init {
+        cluster.types = mapOf(TYPE.name to TYPE)
+        cluster.load(open.map { it to 1L }, recorded.map { Machine(it, TYPE, "z", false) }, now)
+    }
+
+    fun submit(id: String, pieces: Int, gang: Boolean = false, vcpus: Double = 1.0, crew: String = "team"): Job {
+        cluster.putJob(OpenRecord(spec(id, pieces, gang, vcpus, crew), now, opened = false, withdrawn = false), 1)
+        return cluster.jobs.getValue(id)
+    }
+
+    fun report(report: Report): List<Order> = cluster.report(report, now, mayOrder = true).orEmpty()
+
+    /** Time passes, with the leader's regular work. */
+    fun pass(micros: Long) {
+        val end = now + micros
+        while (now < end) {
+            now = minOf(end, now + 250_000)
+            cluster.tick(now)
+        }
+    }
+
+    companion object {
+        const val GRACE_MICROS = 14_000_000L
+        const val TEAM = """{ name = "team", cpus = 8, cpus_max = 64, gpus = 0, gpus_max = 0 }"""
+        val TYPE = MachineType("t", 8.0, 0.0, 64.0, 10.0, 1.0, 1.0, 0.3, 30_000_000, listOf("z"))
+
+        fun spec(id: String, pieces: Int, gang: Boolean = false, vcpus: Double = 1.0, crew: String = "team") = JobSpec.read(
+            Fields(
+                mapOf(
+                    "name_id" to id, "lane" to if (gang) "gangs" else "sweeps", "crew" to crew, "shape" to if (gang) "gang" else "sweep",
+                    "urgency" to "normal", "pieces" to pieces, "vcpus" to vcpus, "gpus" to 0.0, "memory_gb" to 1.0, "bundle" to "img",
+                    "pull_gb" to 1.0, "same_place" to false, "apart" to false, "loaners" to false, "guess_s" to 30.0,
+                    "mark_every_s" to 0.0, "mark_s" to 0.0, "due_s" to 600.0,
+                ),
+            ),
+        )
+    }
+}
+
+/** A worker that does what it is told, if the answer reaches it. */
+internal class HandWorker(private val fixture: ClusterFixture, val name: String) {
+    var watch = 1L
+    var tick = 0L
+    var helm = 0L
+    val tasks = LinkedHashMap<Pair<PieceId, Long>, PieceStatus>()
+
+    fun makeReport(): Report = Report(
+        name, "", ClusterFixture.TYPE.name, "z", false, watch, ++tick, helm, null,
+        tasks.map { (key, status) -> PieceReport(key.first, key.second, status, if (status == PieceStatus.ENDED) "done" else null, false) },
+    )
+
+    fun report(answered: Boolean = true): List<Order> {
+        val orders = fixture.report(makeReport())
+        if (!answered) return orders
+        helm = fixture.helm
+        for (order in orders) {
+            val key = order.piece to order.attempt
+            when (order) {
+                is Order.Start -> tasks[key] = PieceStatus.RUNNING
+                is Order.Halt -> if (key in tasks) tasks[key] = PieceStatus.ENDED
+                is Order.Clear -> tasks.remove(key)
+            }
+        }
+        return orders
+    }
+
+    /** Reports once a second for [seconds]. */
+    fun reportFor(seconds: Int, answered: Boolean = true): List<Order> = (1..seconds).flatMap {
+        fixture.pass(1_000_000)
+        report(answered)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -0,0 +1,168 @@
+package linemast.placement
+
+import linemast.jobs.OpenRecord
+import linemast.workers.Order
+import linemast.workers.PieceStatus
+import linemast.workers.Report
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class ClusterTest {
+    /** Two clusters hear the same worker; one also gets copies of its reports, up to several leases late. */
+    @Test
+    fun `late copies of reports change nothing`() {
+        val seed = 11
+        println("seed $seed")
+        repeat(20) { round ->
+            val random = Random(seed + round)
+            val fixture = ClusterFixture()
+            val worker = HandWorker(fixture, "host-000001")
+            fixture.submit("req-1", 40)
+            val sent = ArrayList<Report>()
+            repeat(40) {
+                fixture.pass(1_000_000)
+                if (random.nextInt(3) == 0) worker.tasks.keys.randomOrNull(random)?.let { worker.tasks[it] = PieceStatus.ENDED }
+                worker.report()
+                sent += worker.makeReport().also { worker.tick-- }
+                val before = state(fixture)
+                repeat(random.nextInt(3)) {
+                    val copy = sent[random.nextInt(sent.size)]
+                    if (copy.tick < worker.tick) assertEquals(emptyList<Order>(), fixture.report(copy))
+                }
+                assertEquals(before, state(fixture))
+            }
+        }
+    }
+
+    private fun state(fixture: ClusterFixture) = fixture.cluster.machines.values.map { machine ->
+        listOf(machine.name, machine.watch, machine.tick, machine.helm, machine.reportedMicros, machine.leaseEndMicros, machine.placements.keys.toList())
+    } to fixture.cluster.jobs.values.map { it.doneCount to it.pendingCount }
+
+    @Test
+    fun `no start leaves before the worker shows this helm and hears its answers`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        fixture.submit("req-1", 4)
+        worker.reportFor(5, answered = false)
+        assertEquals(0, worker.tasks.size)
+        worker.helm = fixture.helm
+        fixture.pass(10_000_000)
+        // The first report after a silence may come from a worker that no answer reaches.
+        assertEquals(emptyList<Order>(), worker.report())
+        assertEquals(4, worker.reportFor(2).count { it is Order.Start })
+    }
+
+    @Test
+    fun `a machine that answers do not reach gets no more work and its tasks run elsewhere, once`() {
+        val fixture = ClusterFixture()
+        val deaf = HandWorker(fixture, "host-000001")
+        fixture.submit("req-1", 8)
+        deaf.reportFor(4)
+        assertEquals(8, deaf.tasks.size)
+        val other = HandWorker(fixture, "host-000002")
+        // Its reports get through every five seconds, no answer does: its lease ends and it begins a new session.
+        repeat(2) {
+            other.reportFor(5)
+            assertFalse(deaf.report(answered = false).any { it is Order.Start })
+            assertEquals(0, other.tasks.size, "they may still run on the first machine")
+        }
+        deaf.watch++
+        deaf.tasks.clear()
+        other.reportFor(1)
+        assertFalse(deaf.report(answered = false).any { it is Order.Start })
+        other.reportFor(3)
+        assertEquals(8, other.tasks.size)
+        assertTrue(fixture.cluster.machines.getValue(deaf.name).deafSinceMicros > 0)
+    }
+
+    @Test
+    fun `a late copy does not bring a returned machine back`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        worker.reportFor(3)
+        val copy = worker.makeReport()
+        fixture.cluster.returned(listOf(worker.name))
+        assertEquals(emptyList<Order>(), fixture.report(copy))
+        assertFalse(worker.name in fixture.cluster.machines)
+    }
+
+    @Test
+    fun `a worker that begins from the start is taken in again after its lease, one late copy is not`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        fixture.submit("req-1", 4)
+        worker.reportFor(6)
+        assertEquals(4, worker.tasks.size)
+        val machine = fixture.cluster.machines.getValue(worker.name)
+        val old = worker.makeReport().also(fixture::report)
+        worker.tick = 0
+        worker.tasks.clear()
+        worker.reportFor(2)
+        assertEquals(4, machine.placements.size, "within the lease the earlier worker may still run them")
+        fixture.pass(12_000_000)
+        fixture.report(old)
+        worker.reportFor(5)
+        assertEquals(4, worker.tasks.size)
+    }
+
+    /** A copy of a report to an earlier leader must not count as proof that the machine has heard of this one. */
+    @Test
+    fun `after a take-over opened jobs wait for machines that can hold their tasks, and for no late copy`() {
+        val opened = OpenRecord(ClusterFixture.spec("req-1", 4), 0, opened = true, withdrawn = false)
+        val fixture = ClusterFixture(recorded = listOf("host-000001", "host-000002"), open = listOf(opened))
+        val here = HandWorker(fixture, "host-000001")
+        val silent = HandWorker(fixture, "host-000002").apply { helm = 4 }
+        here.reportFor(2)
+        fixture.report(silent.makeReport())
+        here.reportFor(3)
+        assertEquals(0, here.tasks.size)
+        fixture.pass(ClusterFixture.GRACE_MICROS)
+        here.reportFor(3)
+        assertEquals(0, here.tasks.size, "the lease may have been renewed to the end of the grace")
+        here.reportFor(12)
+        assertEquals(4, here.tasks.size)
+    }
+
+    @Test
+    fun `a job behind a large one of its team begins within four minutes`() {
+        val fixture = ClusterFixture(teams = """{ name = "team", cpus = 4, cpus_max = 4, gpus = 0, gpus_max = 0 }""")
+        val worker = HandWorker(fixture, "host-000001")
+        worker.reportFor(2)
+        fixture.submit("req-1", 800)
+        worker.reportFor(2)
+        val second = fixture.submit("req-2", 300)
+        repeat(8) {
+            worker.reportFor(20)
+            worker.tasks.keys.filter { worker.tasks[it] == PieceStatus.RUNNING }.forEach { worker.tasks[it] = PieceStatus.ENDED }
+        }
+        assertTrue(second.doneCount > 0 || second.placements.isNotEmpty(), "not begun after 160 s")
+    }
+
+    /** Two gangs that need both machines whole, while small work keeps coming: each gets them in turn. */
+    @Test
+    fun `machines are gathered for one gang at a time`() {
+        val fixture = ClusterFixture()
+        val workers = List(2) { HandWorker(fixture, "host-00000$it") }
+        workers.forEach { it.reportFor(2) }
+        fixture.submit("req-1", 600)
+        var seconds = 0
+        val gangs = listOf("req-2", "req-3").map { fixture.submit(it, 2, gang = true, vcpus = 8.0) }
+        while (gangs.any { it.doneCount == 0 } && seconds < 300) {
+            fixture.pass(1_000_000)
+            seconds++
+            workers.forEach { worker ->
+                worker.report()
+                // Staggered ends: never both machines free by chance.
+                val ends = worker.tasks.keys.filterIndexed { at, key -> worker.tasks[key] == PieceStatus.RUNNING && (at + seconds) % 9 == 0 }
+                ends.filter { key -> gangs.none { it.id == key.first.job } || bothHold(workers, key.first.job) }
+                    .forEach { worker.tasks[it] = PieceStatus.ENDED }
+            }
+        }
+        assertTrue(gangs.all { it.doneCount == 2 }, "gangs done after $seconds s: ${gangs.map { it.doneCount }}")
+    }
+
+    private fun bothHold(workers: List<HandWorker>, job: String) = workers.all { worker -> worker.tasks.keys.any { it.first.job == job } }
+}
