--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -76,7 +76,8 @@
         val wall = cluster.wallMicros()
         for (job in ready) {
             val begun = job.doneCount > 0 || job.placements.any { !it.isAssigned }
-            job.waitsLong = !begun && wall - job.acceptedWallMicros > BEGIN_MICROS
+            val longWait = if (job.spec.isGang) GANG_BEGIN_MICROS else BEGIN_MICROS
+            job.waitsLong = !begun && wall - job.acceptedWallMicros > longWait
         }
         var gathers = true
         for (job in ready) {
@@ -400,6 +401,9 @@
         const val FIRST_TASKS = 2
         const val BEGIN_MICROS = 60_000_000L
 
+        /** Later: going first it takes a whole machine or more from those within their guarantee. */
+        const val GANG_BEGIN_MICROS = 150_000_000L
+
         /** No more of a team's limit than this share is kept for a gang that has not come yet. */
         const val MOST_KEPT = 0.25
         const val TEAM_LIMIT = "its team's limit"
