--- a/src/main/kotlin/linemast/planning/Policy.kt
+++ b/src/main/kotlin/linemast/planning/Policy.kt
@@ -9,7 +9,7 @@
     /** Between two looks at which backups are still needed. */
     val shortIntervalMicros: Long = 10 * SECOND_MICROS,
     /** A rented machine without work or plan is returned after this long. */
-    val idleReturnMicros: Long = 12 * SECOND_MICROS,
+    val idleReturnMicros: Long = 25 * SECOND_MICROS,
     /** An owned machine without work is returned after this long. */
     val ownedIdleMicros: Long = 1_800 * SECOND_MICROS,
     /** Lease of the leader on its key. */
