--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -76,7 +76,8 @@
         val wall = cluster.wallMicros()
         for (job in ready) {
             val begun = job.doneCount > 0 || job.placements.any { !it.isAssigned }
-            val longWait = if (job.spec.isGang) GANG_BEGIN_MICROS else BEGIN_MICROS
+            // A gang of one task needs nothing gathered, and going first it would only take another one's turn.
+            val longWait = if (!job.spec.isGang) BEGIN_MICROS else if (job.spec.pieces > 1) GANG_BEGIN_MICROS else Long.MAX_VALUE
             job.waitsLong = !begun && wall - job.acceptedWallMicros > longWait
         }
         var gathers = true
@@ -94,12 +95,13 @@
 
     /** Keeps the machines that will be free first for all tasks of a gang; false if there are not enough. */
     private fun gather(job: Job, nowMicros: Long): Boolean {
-        val free = usable(job, nowMicros).filter { it.reservedFor == null || it.reservedFor === job }
+        val free = usable(job, nowMicros).filter { it.reservedFor == null || it.reservedFor === job || it.reservedFor === gathering }
         val groups = if (job.spec.samePlace) free.groupBy { it.yard }.values else listOf(free)
         val chosen = groups.map { group -> group.sortedBy { freeAfterMicros(it, nowMicros) }.take(job.pendingCount) }
             .filter { it.size == job.pendingCount }
             .minByOrNull { group -> group.maxOf { freeAfterMicros(it, nowMicros) } } ?: return false
-        for (machine in free) if (machine.reservedFor === job && machine !in chosen) machine.reservedFor = null
+        for (machine in free) if (machine !in chosen) machine.reservedFor = null
+        gathering = job
         for (machine in chosen) {
             machine.reservedFor = job
             machine.reservedUntilMicros = nowMicros + RESERVATION_MICROS
@@ -107,6 +109,9 @@
         return true
     }
 
+    /** The gang that machines were gathered for last; another one that comes before it takes them over. */
+    private var gathering: Job? = null
+
     private fun freeAfterMicros(machine: Machine, nowMicros: Long): Long = machine.placements.values.maxOfOrNull { placement ->
         val job = placement.job ?: return Long.MAX_VALUE
         val since = if (placement.isRunning) placement.runningSinceMicros else nowMicros
