--- /dev/null
+++ b/src/test/kotlin/linemast/peers/PeerViewTest.kt
@@ -0,0 +1,40 @@
+package linemast.peers
+
+import linemast.jobs.Progress
+import linemast.wire.Clock
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class PeerViewTest {
+    private var now = 0L
+    private val view = PeerView(Clock { now })
+
+    /** What a peer said before an outage once counted for five seconds more, and all controllers took themselves out. */
+    @Test
+    fun `what a peer said last counts, while it is fresh`() {
+        view.heard(frame("mast-1", storeWorks = true))
+        assertTrue(view.storeWorksElsewhere && view.hearsAny)
+        now += 1_000_000
+        view.heard(frame("mast-1", storeWorks = false))
+        assertFalse(view.storeWorksElsewhere)
+        view.heard(frame("mast-2", storeWorks = true, workersAsk = true))
+        assertTrue(view.storeWorksElsewhere && view.workersAskElsewhere)
+        now += 4_000_000
+        assertFalse(view.storeWorksElsewhere || view.workersAskElsewhere || view.hearsAny)
+    }
+
+    @Test
+    fun `progress comes from the leader with the highest helm`() {
+        view.heard(frame("mast-1", helm = 4, leads = true, done = 7))
+        view.heard(frame("mast-2", helm = 3, leads = true, done = 1))
+        assertEquals(7, view.progressOf("req-1")?.done)
+        now += 6_000_000
+        assertNull(view.progressOf("req-1"))
+    }
+
+    private fun frame(node: String, helm: Long = 1, leads: Boolean = false, storeWorks: Boolean = false, workersAsk: Boolean = false, done: Int = 0) =
+        PeerFrame(node, helm, leads, storeWorks, workersAsk, mapOf("req-1" to Progress(done, 0)))
+}
--- a/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -60,6 +60,42 @@
         assertEquals(48, world.completed.size)
     }
 
+    /** Its workers go on reporting to it; held in its grace they would be lost to the new leader for that long. */
+    @Test
+    fun `a leader without the store and its peers sends its workers away`() {
+        val world = world(seed = 2, LEASE_SECONDS) { world ->
+            world.user(SimJob("req-900001", "north", 12, 1.0, false, false, false, true, 30_000_000), null)
+            delay(15_000)
+            val leader = leaderOf(world)
+            world.store.refused += "mast-$leader"
+            world.alone += leader
+            delay(15_000)
+            assertEquals(setOf(2L), world.workers.values.map { it.helm }.toSet(), "all workers are with the new leader")
+            assertTrue(leaderOf(world) != leader)
+            delay(CALM_MILLIS)
+        }
+        assertEquals(emptyList<String>(), world.broken)
+        assertEquals(12, world.completed.size)
+        assertEquals(12, world.starts, "no task was lost on the way")
+    }
+
+    @Test
+    fun `a leader that workers do not get through to gives the lead away`() {
+        val world = world(seed = 3, LEASE_SECONDS) { world ->
+            delay(10_000)
+            val leader = leaderOf(world)
+            world.cutFromWorkers += leader
+            delay(12_000)
+            assertTrue(leaderOf(world) != leader, "mast-$leader still leads")
+            world.user(SimJob("req-900001", "north", 12, 1.0, false, false, false, true, 5_000_000), null)
+            delay(30_000)
+            assertEquals(12, world.completed.size)
+        }
+        assertEquals(emptyList<String>(), world.broken)
+    }
+
+    private fun leaderOf(world: SimWorld): Int = world.store.valueOf("leader")?.text("node")?.removePrefix("mast-")?.toInt() ?: -1
+
     private fun play(seed: Int, controllersLeaseSeconds: Double): SimWorld = world(seed, controllersLeaseSeconds) { world ->
         backgroundScope.launch { submissions(world) }
         faults(world)
--- a/src/test/kotlin/linemast/simulation/SimWorker.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -36,7 +36,8 @@
     var deaf = false
     private var watch = 1L
     private var tick = 0L
-    private var helm = 0L
+    var helm = 0L
+        private set
     private var renewedMicros = world.clock.nowMicros()
     private var node = random.nextInt(3)
     private var reportSoon = true
