--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -53,6 +53,10 @@
         // The first report after a silence may come from a worker that no answer reaches.
         assertEquals(emptyList<Order>(), worker.report())
         assertEquals(4, worker.reportFor(2).count { it is Order.Start })
+        // Chosen while it heard, but not sent before it fell silent.
+        fixture.submit("req-2", 4)
+        fixture.pass(6_000_000)
+        assertEquals(0, worker.report().count { it is Order.Start })
     }
 
     @Test
