What the leader stores of jobs and machines in classes of their own; stale choices are made anew

Moved out of LeaderDuty without a change of behaviour: JobLedger, FleetLedger, attempt. With it one change found in reading: a task chosen for a machine that fell silent before the start left waited for that machine's lease.

--- a/src/main/kotlin/linemast/leadership/Authority.kt
+++ b/src/main/kotlin/linemast/leadership/Authority.kt
@@ -1,5 +1,7 @@
 package linemast.leadership
 
+import linemast.state.Condition
+
 /** The two keys leadership lives in. */
 object LeaderKeys {
     /** Attached to the leader's hold; every write of the leader depends on its stamp. */
@@ -18,11 +20,13 @@
  */
 class Authority(
     val helm: Long,
-    val stamp: Long,
+    stamp: Long,
     private val holdMicros: Long,
     private val graceMicros: Long,
     sentMicros: Long,
 ) {
+    /** Every write of this lead depends on it, so that none is carried out once another one leads. */
+    val fence = Condition(LeaderKeys.LEADER, stamp)
     private var untilMicros = sentMicros + usable(holdMicros)
     private var graceUntilMicros = untilMicros + graceMicros
     var ended = false
--- /dev/null
+++ b/src/main/kotlin/linemast/leadership/FleetLedger.kt
@@ -0,0 +1,65 @@
+package linemast.leadership
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import linemast.cloud.MachineType
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.Store
+import linemast.state.Write
+import linemast.state.listAll
+import linemast.workers.FleetRecord
+import linemast.workers.Machine
+import org.slf4j.LoggerFactory
+
+/** Keeps the stored list of machines that may run tasks. */
+internal class FleetLedger(
+    private val store: Store,
+    private val scope: CoroutineScope,
+    private val authority: Authority,
+    private val types: () -> Map<String, MachineType>,
+    /** Runs an action in the turn of the routine that owns the cluster state. */
+    private val inTurn: suspend (() -> Unit) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger(FleetLedger::class.java)
+    private val record = FleetRecord()
+    private val writes = Mutex()
+    private var storing = false
+
+    /** The machines that the store holds, for a new leader. */
+    suspend fun load(): List<Machine> = record.read(store.listAll(FleetRecord.PREFIX).items, types())
+
+    /** Stores [machines], one call at a time, and tells when that is done. */
+    fun add(machines: List<Machine>, onStored: () -> Unit) {
+        if (storing) return
+        storing = true
+        scope.launch {
+            val stored = write { record.with(machines) }
+            inTurn {
+                storing = false
+                if (stored) onStored()
+            }
+        }
+    }
+
+    fun remove(names: List<String>) {
+        scope.launch { write { record.without(names) } }
+    }
+
+    /** Changes the record, one change at a time; after any doubt it is read again. */
+    private suspend fun write(change: () -> Map<String, Map<String, Any?>>): Boolean = writes.withLock {
+        for ((key, value) in change()) {
+            val conditions = listOf(authority.fence, Condition(key, record.stampOf(key)))
+            val result = attempt(log) { store.commit(conditions, listOf(Write.Put(key, value))) }
+            if (result is CommitResult.Applied) {
+                record.written(key, result.era)
+            } else {
+                attempt(log) { load() }
+                return@withLock false
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/leadership/JobLedger.kt
@@ -0,0 +1,164 @@
+package linemast.leadership
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import linemast.jobs.DoneSet
+import linemast.jobs.JobKeys
+import linemast.jobs.OpenRecord
+import linemast.jobs.Verdict
+import linemast.jobs.VerdictRecord
+import linemast.placement.Cluster
+import linemast.state.Change
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.Item
+import linemast.state.Priority
+import linemast.state.Store
+import linemast.state.Write
+import linemast.state.listAll
+import linemast.workers.Job
+import org.slf4j.LoggerFactory
+import java.util.BitSet
+
+/**
+ * What the leader stores of jobs: their openings, done sets and ends.
+ *
+ * Every write depends on the lead; what comes back is taken in by the routine that owns the cluster state.
+ */
+internal class JobLedger(
+    private val store: Store,
+    private val scope: CoroutineScope,
+    private val authority: Authority,
+    private val cluster: () -> Cluster,
+    /** Runs an action in the turn of the routine that owns the cluster state. */
+    private val inTurn: suspend (() -> Unit) -> Unit,
+    private val onChange: (Change) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger(JobLedger::class.java)
+    private val fence get() = authority.fence
+
+    fun storeOpened(job: Job) {
+        scope.launch {
+            while (true) {
+                val stamp = job.stamp
+                val result = attempt(log) {
+                    val item = store.get(JobKeys.open(job.id), Priority.INTAKE) ?: return@attempt null
+                    val record = OpenRecord.read(item)
+                    if (record.withdrawn) return@attempt null
+                    store.commit(
+                        listOf(fence, Condition(item.key, item.stamp)),
+                        listOf(Write.Put(item.key, record.with(opened = true).toMap())),
+                        Priority.INTAKE,
+                    )
+                }
+                when (result) {
+                    is CommitResult.Applied -> {
+                        inTurn {
+                            job.opened = Job.Opened.YES
+                            cluster().dirty = true
+                        }
+                        return@launch
+                    }
+                    is CommitResult.Conflict -> if (LeaderKeys.LEADER in result.failed) return@launch authority.end()
+                    else -> Unit
+                }
+                if (job.withdrawn || job.finished) return@launch
+                if (stamp == job.stamp) delay(RETRY_MILLIS)
+            }
+        }
+    }
+
+    fun storeDone(job: Job) {
+        job.writingDone = true
+        scope.launch {
+            val parts = job.dirtyParts.stream().toArray()
+            val isDone = job.isDone
+            val bits = parts.map { DoneSet.encodePart(job.done, it) }
+            val result = attempt(log) { if (isDone) commitDone(job) else commitParts(job, parts, bits) }
+            inTurn {
+                job.writingDone = false
+                when (result) {
+                    is CommitResult.Applied -> {
+                        parts.forEach {
+                            job.dirtyParts.clear(it)
+                            job.partStamps[it] = result.era
+                        }
+                        if (!isDone) {
+                            // Tasks completed while the write was under way are in the next one.
+                            for ((at, part) in parts.withIndex()) {
+                                if (DoneSet.encodePart(job.done, part) != bits[at]) job.dirtyParts.set(part)
+                            }
+                        } else {
+                            finish(job)
+                        }
+                    }
+                    is CommitResult.Conflict -> if (LeaderKeys.LEADER in result.failed) authority.end() else reread(job)
+                    else -> Unit
+                }
+            }
+        }
+    }
+
+    private fun finish(job: Job) {
+        job.finished = true
+        log.info("{}: done, {} tasks", job.id, job.spec.pieces)
+        cluster().jobs.remove(job.id)
+        cluster().dirty = true
+    }
+
+    private suspend fun commitParts(job: Job, parts: IntArray, bits: List<String>): CommitResult = store.commit(
+        listOf(fence, Condition(JobKeys.open(job.id), job.stamp)) +
+            parts.map { Condition(JobKeys.donePart(job.id, it), job.partStamps[it] ?: 0L) },
+        parts.mapIndexed { at, part -> Write.Put(JobKeys.donePart(job.id, part), mapOf("bits" to bits[at])) },
+        Priority.BACKGROUND,
+    )
+
+    private suspend fun commitDone(job: Job): CommitResult {
+        val verdict = store.get(JobKeys.verdict(job.id), Priority.INTAKE) ?: return CommitResult.Conflict(emptyList())
+        if (VerdictRecord.read(verdict.value).verdict.isFinal) return CommitResult.Conflict(emptyList())
+        val writes = ArrayList<Write>()
+        writes += Write.Put(verdict.key, VerdictRecord(Verdict.DONE, job.spec.pieces).toMap())
+        writes += Write.Drop(JobKeys.open(job.id))
+        for (part in job.partStamps.keys) writes += Write.Drop(JobKeys.donePart(job.id, part))
+        return store.commit(listOf(fence, Condition(verdict.key, verdict.stamp)), writes, Priority.INTAKE)
+    }
+
+    /** The job's record is not what it was taken for: most likely its user has cancelled it. */
+    private fun reread(job: Job) {
+        scope.launch {
+            val item = attempt(log) { store.get(JobKeys.open(job.id)) } ?: return@launch
+            val parts = attempt(log) { store.listAll("${JobKeys.DONE_PREFIX}${job.id}/").items } ?: return@launch
+            inTurn {
+                onChange(Change(item.key, item.value, item.stamp))
+                parts.forEach { takeDone(job, it, it.key.substringAfterLast('/').toInt()) }
+            }
+        }
+    }
+
+    fun dropWithdrawn(job: Job) {
+        job.writingDone = true
+        scope.launch {
+            val writes = ArrayList<Write>()
+            writes += Write.Drop(JobKeys.open(job.id))
+            for (part in job.partStamps.keys) writes += Write.Drop(JobKeys.donePart(job.id, part))
+            val result = attempt(log) { store.commit(listOf(fence), writes) }
+            inTurn {
+                job.writingDone = false
+                if (result is CommitResult.Applied) cluster().jobs.remove(job.id)
+            }
+        }
+    }
+
+    /** Takes a stored part of a done set. */
+    fun takeDone(job: Job, item: Item, part: Int) {
+        val set = BitSet()
+        DoneSet.decodePart(item.value.text("bits"), part, set)
+        job.partStamps[part] = item.stamp
+        set.stream().forEach { job.markDone(it) }
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 250L
+    }
+}
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -1,25 +1,19 @@
 package linemast.leadership
 
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
 import linemast.cloud.Cloud
 import linemast.cloud.CloudException
 import linemast.cloud.Fleet
 import linemast.cloud.MachineType
 import linemast.cloud.RentRequest
 import linemast.cloud.RentResult
-import linemast.jobs.DoneSet
 import linemast.jobs.JobKeys
 import linemast.jobs.OpenRecord
 import linemast.jobs.Progress
-import linemast.jobs.Verdict
-import linemast.jobs.VerdictRecord
 import linemast.peers.PeerView
 import linemast.placement.Cluster
 import linemast.placement.Effects
@@ -32,7 +26,6 @@
 import linemast.state.CommitResult
 import linemast.state.Condition
 import linemast.state.FollowResult
-import linemast.state.Item
 import linemast.state.Priority
 import linemast.state.Store
 import linemast.state.StoreException
@@ -41,13 +34,11 @@
 import linemast.wire.Clock
 import linemast.wire.MalformedException
 import linemast.wire.SECOND_MICROS
-import linemast.workers.FleetRecord
 import linemast.workers.Job
 import linemast.workers.Machine
 import linemast.workers.Order
 import linemast.workers.Report
 import org.slf4j.LoggerFactory
-import java.util.BitSet
 
 /**
  * All that one time of leading does, from reading the store to losing the lead.
@@ -74,12 +65,11 @@
     private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner, wallMicros)
     private val fleet = Fleet(settings, policy, authority.helm)
     private val steward = Steward(cluster, fleet, planner, policy)
-    private val fleetRecord = FleetRecord()
+    private val jobLedger = JobLedger(store, scope, authority, { cluster }, events::send, ::changed)
+    private val fleetLedger = FleetLedger(store, scope, authority, { cluster.types }, events::send)
     private val electedMicros = clock.nowMicros()
     private var loaded = false
     private val peersKnowing = HashSet<String>()
-    private var storingMachines = false
-    private val fleetWrites = Mutex()
 
     /** Orders for the answer to [report]; null for an answer that leaves the worker's lease alone. */
     suspend fun answer(report: Report): List<Order>? {
@@ -165,7 +155,7 @@
                     fleet.listed(list, cluster.types, now)
                     fleet.standing?.let(cluster::markOwned)
                     val absent = cluster.forgetAbsent(fleet.machines.keys, now)
-                    if (absent.isNotEmpty()) storeAbsent(absent)
+                    if (absent.isNotEmpty()) fleetLedger.remove(absent)
                 }
             } catch (e: CloudException) {
                 log.debug("machine list: {}", e.message)
@@ -188,7 +178,7 @@
             if (found.isEmpty() && stillLagging) return
             val chunks = found.chunked(STANDING_CHUNK).ifEmpty { listOf(emptyList()) }
             val writes = chunks.mapIndexed { at, names -> Write.Put("$STANDING_PREFIX$at", mapOf("rigs" to names)) }
-            if (store.commit(listOf(fence, Condition("${STANDING_PREFIX}0", 0L)), writes) !is CommitResult.Applied) return
+            if (store.commit(listOf(authority.fence, Condition("${STANDING_PREFIX}0", 0L)), writes) !is CommitResult.Applied) return
             log.info("standing fleet: {} machines", found.size)
             found
         }
@@ -239,7 +229,7 @@
                 if (confirmed) {
                     fleet.gone(names)
                     cluster.returned(names)
-                    storeAbsent(names)
+                    fleetLedger.remove(names)
                 } else {
                     names.forEach { fleet.machines[it]?.returning = false }
                 }
@@ -247,25 +237,6 @@
         }
     }
 
-    private fun storeAbsent(names: List<String>) {
-        scope.launch { writeFleet { fleetRecord.without(names) } }
-    }
-
-    /** Changes the record of machines, one change at a time; after any doubt it is read again. */
-    private suspend fun writeFleet(change: () -> Map<String, Map<String, Any?>>): Boolean = fleetWrites.withLock {
-        for ((key, value) in change()) {
-            val conditions = listOf(fence, Condition(key, fleetRecord.stampOf(key)))
-            val result = attempt { store.commit(conditions, listOf(Write.Put(key, value))) }
-            if (result is CommitResult.Applied) {
-                fleetRecord.written(key, result.era)
-            } else {
-                attempt { fleetRecord.read(store.listAll(FleetRecord.PREFIX).items, cluster.types) }
-                return@withLock false
-            }
-        }
-        true
-    }
-
     /** The plans as they stand, for operators: as many jobs as fit a value. */
     private fun storePlans() {
         val shown = cluster.jobs.values.take(PLANS_SHOWN).mapNotNull { job ->
@@ -280,7 +251,7 @@
         }
         scope.launch {
             val record = Write.Put(PLAN_KEY, mapOf("at_us" to wallMicros(), "plans" to shown))
-            attempt { store.commit(listOf(fence), listOf(record), Priority.BACKGROUND) }
+            attempt(log) { store.commit(listOf(authority.fence), listOf(record), Priority.BACKGROUND) }
         }
     }
 
@@ -295,12 +266,12 @@
             try {
                 val open = store.listAll(JobKeys.OPEN_PREFIX)
                 val done = store.listAll(JobKeys.DONE_PREFIX)
-                val machines = fleetRecord.read(store.listAll(FleetRecord.PREFIX).items, cluster.types)
+                val machines = fleetLedger.load()
                 val records = open.items.map { OpenRecord.read(it) to it.stamp }
                 cluster.load(records, machines, clock.nowMicros())
                 for (item in done.items) {
                     val (id, part) = item.key.removePrefix(JobKeys.DONE_PREFIX).split('/')
-                    cluster.jobs[id]?.let { takeDone(it, item, part.toInt()) }
+                    cluster.jobs[id]?.let { jobLedger.takeDone(it, item, part.toInt()) }
                 }
                 loaded = true
                 endEarlierGraceIfKnown()
@@ -316,13 +287,6 @@
         }
     }
 
-    private fun takeDone(job: Job, item: Item, part: Int) {
-        val set = BitSet()
-        DoneSet.decodePart(item.value.text("bits"), part, set)
-        job.partStamps[part] = item.stamp
-        set.stream().forEach { job.markDone(it) }
-    }
-
     private suspend fun followJobs(startEra: Long) {
         var era = startEra
         while (true) {
@@ -358,148 +322,17 @@
         }
     }
 
-    private val fence get() = Condition(LeaderKeys.LEADER, authority.stamp)
+    override fun storeOpened(job: Job) = jobLedger.storeOpened(job)
 
-    override fun storeOpened(job: Job) {
-        scope.launch {
-            while (true) {
-                val stamp = job.stamp
-                val result = attempt {
-                    val item = store.get(JobKeys.open(job.id), Priority.INTAKE) ?: return@attempt null
-                    val record = OpenRecord.read(item)
-                    if (record.withdrawn) return@attempt null
-                    store.commit(
-                        listOf(fence, Condition(item.key, item.stamp)),
-                        listOf(Write.Put(item.key, record.with(opened = true).toMap())),
-                        Priority.INTAKE,
-                    )
-                }
-                when (result) {
-                    is CommitResult.Applied -> {
-                        events.send {
-                            job.opened = Job.Opened.YES
-                            cluster.dirty = true
-                        }
-                        return@launch
-                    }
-                    is CommitResult.Conflict -> if (LeaderKeys.LEADER in result.failed) return@launch authority.end()
-                    else -> Unit
-                }
-                if (job.withdrawn || job.finished) return@launch
-                if (stamp == job.stamp) delay(RETRY_MILLIS)
-            }
-        }
-    }
+    override fun storeDone(job: Job) = jobLedger.storeDone(job)
 
-    override fun storeDone(job: Job) {
-        job.writingDone = true
-        scope.launch {
-            val parts = job.dirtyParts.stream().toArray()
-            val isDone = job.isDone
-            val bits = parts.map { DoneSet.encodePart(job.done, it) }
-            val result = attempt { if (isDone) commitDone(job) else commitParts(job, parts, bits) }
-            events.send {
-                job.writingDone = false
-                when (result) {
-                    is CommitResult.Applied -> {
-                        parts.forEach {
-                            job.dirtyParts.clear(it)
-                            job.partStamps[it] = result.era
-                        }
-                        if (!isDone) {
-                            // Tasks completed while the write was under way are in the next one.
-                            for ((at, part) in parts.withIndex()) {
-                                if (DoneSet.encodePart(job.done, part) != bits[at]) job.dirtyParts.set(part)
-                            }
-                        } else {
-                            finish(job)
-                        }
-                    }
-                    is CommitResult.Conflict -> if (LeaderKeys.LEADER in result.failed) authority.end() else reread(job)
-                    else -> Unit
-                }
-            }
-        }
-    }
+    override fun dropWithdrawn(job: Job) = jobLedger.dropWithdrawn(job)
 
-    private fun finish(job: Job) {
-        job.finished = true
-        log.info("{}: done, {} tasks", job.id, job.spec.pieces)
-        cluster.jobs.remove(job.id)
+    override fun storeMachines(machines: List<Machine>) = fleetLedger.add(machines) {
+        machines.forEach { it.onRecord = true }
         cluster.dirty = true
     }
 
-    private suspend fun commitParts(job: Job, parts: IntArray, bits: List<String>): CommitResult = store.commit(
-        listOf(fence, Condition(JobKeys.open(job.id), job.stamp)) +
-            parts.map { Condition(JobKeys.donePart(job.id, it), job.partStamps[it] ?: 0L) },
-        parts.mapIndexed { at, part -> Write.Put(JobKeys.donePart(job.id, part), mapOf("bits" to bits[at])) },
-        Priority.BACKGROUND,
-    )
-
-    private suspend fun commitDone(job: Job): CommitResult {
-        val verdict = store.get(JobKeys.verdict(job.id), Priority.INTAKE) ?: return CommitResult.Conflict(emptyList())
-        if (VerdictRecord.read(verdict.value).verdict.isFinal) return CommitResult.Conflict(emptyList())
-        val writes = ArrayList<Write>()
-        writes += Write.Put(verdict.key, VerdictRecord(Verdict.DONE, job.spec.pieces).toMap())
-        writes += Write.Drop(JobKeys.open(job.id))
-        for (part in job.partStamps.keys) writes += Write.Drop(JobKeys.donePart(job.id, part))
-        return store.commit(listOf(fence, Condition(verdict.key, verdict.stamp)), writes, Priority.INTAKE)
-    }
-
-    /** The job's record is not what it was taken for: most likely its user has cancelled it. */
-    private fun reread(job: Job) {
-        scope.launch {
-            val item = attempt { store.get(JobKeys.open(job.id)) } ?: return@launch
-            val parts = attempt { store.listAll("${JobKeys.DONE_PREFIX}${job.id}/").items } ?: return@launch
-            events.send {
-                changed(Change(item.key, item.value, item.stamp))
-                parts.forEach { takeDone(job, it, it.key.substringAfterLast('/').toInt()) }
-            }
-        }
-    }
-
-    override fun dropWithdrawn(job: Job) {
-        job.writingDone = true
-        scope.launch {
-            val writes = ArrayList<Write>()
-            writes += Write.Drop(JobKeys.open(job.id))
-            for (part in job.partStamps.keys) writes += Write.Drop(JobKeys.donePart(job.id, part))
-            val result = attempt { store.commit(listOf(fence), writes) }
-            events.send {
-                job.writingDone = false
-                if (result is CommitResult.Applied) cluster.jobs.remove(job.id)
-            }
-        }
-    }
-
-    override fun storeMachines(machines: List<Machine>) {
-        if (storingMachines) return
-        storingMachines = true
-        scope.launch {
-            val stored = writeFleet { fleetRecord.with(machines) }
-            events.send {
-                storingMachines = false
-                if (stored) {
-                    machines.forEach { it.onRecord = true }
-                    cluster.dirty = true
-                }
-            }
-        }
-    }
-
-    /** The result of a store call, or null if it gave none. */
-    private suspend fun <T> attempt(call: suspend () -> T?): T? = try {
-        call()
-    } catch (e: CancellationException) {
-        throw e
-    } catch (e: StoreException) {
-        log.debug("{}", e.message)
-        null
-    } catch (e: MalformedException) {
-        log.error("malformed record: {}", e.message)
-        null
-    }
-
     private suspend fun every(periodMicros: Long, action: suspend () -> Unit) {
         while (true) {
             delay(periodMicros / 1_000)
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -376,6 +376,8 @@
             }
         }
         releaseReservations(nowMicros)
+        // What was chosen for a machine that has fallen silent since is chosen anew.
+        if (!dirty) dirty = machines.values.any { machine -> !placer.isFresh(machine, nowMicros) && machine.placements.values.any { it.isAssigned } }
         settle(nowMicros)
         val unrecorded = machines.values.filter { !it.onRecord && it.reportedMicros > 0 }
         if (unrecorded.isNotEmpty()) effects.storeMachines(unrecorded)
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -32,6 +32,10 @@
     /** Whether no task of [spec] is ever put on such a machine, although it would fit. */
     fun isClosedTo(type: MachineType, loaners: Boolean, spec: JobSpec): Boolean = scarce.isClosedTo(type, loaners, spec)
 
+    /** Whether its next report can be expected soon. */
+    fun isFresh(machine: Machine, nowMicros: Long): Boolean =
+        machine.reportedMicros > 0 && nowMicros - machine.reportedMicros < staleMicros
+
     fun startable(job: Job, nowMicros: Long): Boolean =
         job.opened == Job.Opened.YES && !job.withdrawn && !job.finished &&
             nowMicros >= job.backOffUntilMicros && cluster.isSettledFor(job)
@@ -390,7 +394,7 @@
         )
 
     private fun usable(job: Job, nowMicros: Long): List<Machine> = cluster.machines.values.filter {
-        !it.draining && it.onRecord && it.reportedMicros > 0 && nowMicros - it.reportedMicros < staleMicros &&
+        !it.draining && it.onRecord && isFresh(it, nowMicros) &&
             it.hears && it.helm >= cluster.helm && it.allows(job.spec) && it.name !in job.failedOn
     }
 
--- a/src/test/kotlin/linemast/simulation/SimWorker.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -7,7 +7,6 @@
 import linemast.cloud.MachineType
 import linemast.wire.Cbor
 import linemast.wire.Fields
-import linemast.wire.HttpRequest
 
 /** Stand-in of a worker: sessions, leases, tokens and tasks as the protocol's page has them. */
 class SimWorker(
