--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -85,27 +85,30 @@
             job.waitsLong = !begun && wall - job.acceptedWallMicros > longWait
         }
         var gathers = true
-        for (job in ready) {
-            if (!job.waitsLong) continue
+        // The gang that machines are being gathered for stays the one until it has them.
+        for (job in ready.filter { it.waitsLong }.sortedBy { it !== gathering }) {
             if (!job.spec.isGang) {
                 placeSweep(job, Int.MAX_VALUE, nowMicros, FIRST_TASKS)
                 continue
             }
             placeGang(job, nowMicros)
             // One at a time: two that each hold half of what both need would wait for ever.
-            if (gathers && job.placements.isEmpty() && job.heldBy == NO_ROOM && gather(job, nowMicros)) gathers = false
+            if (gathers && job.placements.isEmpty() && job.heldBy != TEAM_LIMIT && gather(job, nowMicros)) gathers = false
         }
     }
 
     /** Keeps the machines that will be free first for all tasks of a gang; false if there are not enough. */
     private fun gather(job: Job, nowMicros: Long): Boolean {
-        val free = usable(job, nowMicros).filter { it.reservedFor == null || it.reservedFor === job || it.reservedFor === gathering }
+        if (gathering !== job) {
+            for (machine in cluster.machines.values) if (machine.reservedFor != null && machine.reservedFor === gathering) machine.reservedFor = null
+            gathering = job
+        }
+        val free = usable(job, nowMicros).filter { it.reservedFor == null || it.reservedFor === job }
         val groups = if (job.spec.samePlace) free.groupBy { it.yard }.values else listOf(free)
         val chosen = groups.map { group -> group.sortedBy { freeAfterMicros(it, nowMicros) }.take(job.pendingCount) }
             .filter { it.size == job.pendingCount }
             .minByOrNull { group -> group.maxOf { freeAfterMicros(it, nowMicros) } } ?: return false
         for (machine in free) if (machine !in chosen) machine.reservedFor = null
-        gathering = job
         for (machine in chosen) {
             machine.reservedFor = job
             machine.reservedUntilMicros = nowMicros + RESERVATION_MICROS
@@ -113,7 +116,7 @@
         return true
     }
 
-    /** The gang that machines were gathered for last; another one that comes before it takes them over. */
+    /** The gang that machines were gathered for last. */
     private var gathering: Job? = null
 
     private fun freeAfterMicros(machine: Machine, nowMicros: Long): Long = machine.placements.values.maxOfOrNull { placement ->
@@ -315,6 +318,8 @@
 
     /** Stops less urgent work so that the missing tasks of a gang fit soon; their machines are kept for it. */
     private fun makeRoom(job: Job, yard: Set<String>?, missing: Int, nowMicros: Long): Boolean {
+        // What is gathered for it comes free by itself; more would only be kept from others.
+        if (job === gathering) return true
         val machines = usable(job, nowMicros).filter { yard == null || it.yard in yard }
         val kept = machines.count { it.reservedFor === job }
         if (kept >= missing) return true
