--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -416,7 +416,7 @@
         const val BEGIN_MICROS = 60_000_000L
 
         /** Later: machines gathered for it stand idle until the last is free, which costs others their turn. */
-        const val GANG_BEGIN_MICROS = 200_000_000L
+        const val GANG_BEGIN_MICROS = 150_000_000L
 
         /** No more of a team's limit than this share is kept for a gang that has not come yet. */
         const val MOST_KEPT = 0.25
--- a/src/main/kotlin/linemast/wire/EventLoop.kt
+++ b/src/main/kotlin/linemast/wire/EventLoop.kt
@@ -95,8 +95,16 @@
         }
     }
 
+    /** A key may be cancelled by a socket that is closed while its turn comes: that must not end the loop. */
     private fun fire(key: SelectionKey) {
-        if (!key.isValid) return
+        try {
+            resumeWaiting(key)
+        } catch (e: CancelledKeyException) {
+            fail(key.attachment() as Selectable, e)
+        }
+    }
+
+    private fun resumeWaiting(key: SelectionKey) {
         val selectable = key.attachment() as Selectable
         val readyOps = key.readyOps()
         val interests = key.interestOps()
