--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -5,18 +5,17 @@
 import linemast.settings.Settings
 import linemast.workers.Job
 import linemast.workers.Machine
+import linemast.workers.MachineSort
 import org.slf4j.LoggerFactory
 
 /** A machine of the cloud's list, or of a rental that the list does not show yet. */
 class CloudMachine(val name: String, val type: MachineType, val yard: String, val loaners: Boolean, val rentedMicros: Long) {
+    val sort = MachineSort(type, yard, loaners)
     var listedMicros = 0L
     var status = "starting"
     var returning = false
 }
 
-/** One sort of machine that can be asked for. */
-data class Offer(val build: String, val yard: String, val loaners: Boolean)
-
 /**
  * Which machines there are by the cloud's word, and which to rent or return. Pure; one leader's.
  *
@@ -33,8 +32,8 @@
 
     /** Names of the standing fleet; null until they are known. */
     var standing: Set<String>? = null
-    private val refusals = HashMap<Offer, Refusal>()
-    private val pendingRents = HashMap<String, Pair<RentRequest, Long>>()
+    private val refusals = HashMap<MachineSort, Refusal>()
+    private val pendingRents = LinkedHashMap<String, RentRequest>()
     private var charters = 0L
 
     private class Refusal(var untilMicros: Long, var times: Int)
@@ -59,14 +58,14 @@
             machines.getOrPut(name) { CloudMachine(name, type, request.yard, request.loaners, nowMicros) }
         }
         log.info("rented {} of {} {} in {}{}", names.size, request.number, request.build, request.yard, kind(request.loaners))
-        val offer = Offer(request.build, request.yard, request.loaners)
+        val offer = MachineSort(type, request.yard, request.loaners)
         if (names.size < request.number) refuse(offer, nowMicros) else refusals.remove(offer)
     }
 
-    fun refused(request: RentRequest, nowMicros: Long) {
+    fun refused(request: RentRequest, types: Map<String, MachineType>, nowMicros: Long) {
         pendingRents.remove(request.charter)
         log.debug("no {} in {}{}", request.build, request.yard, kind(request.loaners))
-        refuse(Offer(request.build, request.yard, request.loaners), nowMicros)
+        types[request.build]?.let { refuse(MachineSort(it, request.yard, request.loaners), nowMicros) }
     }
 
     /** The rental may or may not have happened; what it brought will show in the list. */
@@ -78,8 +77,10 @@
         names.forEach(machines::remove)
     }
 
-    private fun refuse(offer: Offer, nowMicros: Long) {
+    private fun refuse(offer: MachineSort, nowMicros: Long) {
         val refusal = refusals.getOrPut(offer) { Refusal(0, 0) }
+        // Several requests for one offer may be under way: their refusals are one piece of news.
+        if (nowMicros < refusal.untilMicros) return
         refusal.times++
         refusal.untilMicros = nowMicros + (REFUSED_MICROS shl minOf(refusal.times - 1, MAX_DOUBLINGS))
     }
@@ -95,71 +96,91 @@
         closed: (MachineType, Boolean, Job) -> Boolean,
         nowMicros: Long,
     ): List<RentRequest> {
-        val supply = supply(workers, nowMicros)
-        val requests = LinkedHashMap<Offer, Int>()
-        var rentedVcpus = supply.sumOf { it.type.vcpus }
+        val supply = supply(types, workers, nowMicros)
+        val requests = LinkedHashMap<MachineSort, Int>()
+        var rentedVcpus = supply.sumOf { it.machines * it.sort.type.vcpus }
         for (wish in wishes) {
             var left = minOf(wish.slots, allowance(wish.job))
-            for (room in supply) if (!closed(room.type, room.loaners, wish.job)) left -= room.take(wish.job, left)
             if (left < LEAST_WISH) continue
-            for (offer in offers(wish.job, types, nowMicros)) {
-                val type = types.first { it.name == offer.build }
-                if (closed(type, offer.loaners, wish.job)) continue
-                val perMachine = Math.floor(type.vcpus / wish.job.spec.vcpus + EPSILON)
-                var wanted = Math.ceil(left / perMachine - EPSILON).toInt().coerceIn(0, MAX_NUMBER)
-                wanted = minOf(wanted, ((policy.mostRentedVcpus - rentedVcpus) / type.vcpus).toInt())
-                if (wanted <= 0) break
-                requests.merge(offer, wanted, Int::plus)
-                rentedVcpus += wanted * type.vcpus
-                val bought = Supply(type, offer.yard, offer.loaners, wanted * type.vcpus)
-                supply += bought
-                left -= bought.take(wish.job, left)
-                // Only what the cloud grants counts; a refusal brings the next offer into play soon.
-                break
+            for (room in supply) if (!closed(room.sort.type, room.sort.loaners, wish.job)) left -= room.take(wish.job, left)
+            if (left < LEAST_WISH) continue
+            val offer = offers(wish.job, types, nowMicros).firstOrNull { !closed(it.type, it.loaners, wish.job) } ?: continue
+            val perMachine = Math.floor(offer.type.vcpus / wish.job.spec.vcpus + EPSILON)
+            val wanted = minOf(Math.ceil(left / perMachine - EPSILON).toInt(), ((policy.mostRentedVcpus - rentedVcpus) / offer.type.vcpus).toInt())
+            if (wanted <= 0) continue
+            // Only what the cloud grants counts; a refusal brings the next offer into play soon.
+            requests.merge(offer, wanted, Int::plus)
+            rentedVcpus += wanted * offer.type.vcpus
+            supply += Supply(offer).also {
+                it.add(wanted)
+                it.take(wish.job, left)
             }
         }
-        return requests.map { (offer, number) ->
-            RentRequest("r-$helm-${++charters}", offer.build, offer.yard, offer.loaners, minOf(number, MAX_NUMBER))
-        }.onEach { pendingRents[it.charter] = it to nowMicros }
+        return requests.flatMap { (offer, number) -> charters(offer, number) }.onEach { pendingRents[it.charter] = it }
     }
 
-    private class Supply(val type: MachineType, val yard: String, val loaners: Boolean, var vcpus: Double) {
+    /** As many requests of the largest number allowed as [number] needs, within what the cloud takes at a time. */
+    private fun charters(offer: MachineSort, number: Int): List<RentRequest> =
+        (0 until number step MAX_NUMBER).take(MOST_CALLS_AN_OFFER).map { from ->
+            RentRequest("r-$helm-${++charters}", offer.type.name, offer.yard, offer.loaners, minOf(number - from, MAX_NUMBER))
+        }
+
+    /** Rented machines of one sort, as room that wishes take from. */
+    private class Supply(val sort: MachineSort) {
+        var machines = 0
+            private set
+        private var untouched = 0
+
+        /** What is left on the machine that was taken from last. */
+        private var rest = 0.0
+
+        fun add(number: Int) {
+            machines += number
+            untouched += number
+        }
+
         fun take(job: Job, slots: Double): Double {
             val spec = job.spec
-            if (slots <= 0 || !type.takes(spec) || (loaners && !spec.loaners) || (spec.yard != null && spec.yard != yard)) return 0.0
-            val taken = minOf(slots, Math.floor(vcpus / spec.vcpus + EPSILON))
-            vcpus -= taken * spec.vcpus
-            return taken
+            if (slots <= 0 || !sort.allows(spec)) return 0.0
+            val fromRest = minOf(slots, Math.floor(rest / spec.vcpus + EPSILON))
+            rest -= fromRest * spec.vcpus
+            val perMachine = Math.floor(sort.type.vcpus / spec.vcpus + EPSILON)
+            val taken = minOf(slots - fromRest, untouched * perMachine)
+            if (taken <= 0) return fromRest
+            val touched = Math.ceil(taken / perMachine - EPSILON).toInt()
+            untouched -= touched
+            rest = maxOf(rest, sort.type.vcpus - (taken - (touched - 1) * perMachine) * spec.vcpus)
+            return fromRest + taken
         }
     }
 
-    private fun supply(workers: Map<String, Machine>, nowMicros: Long): MutableList<Supply> {
-        val supply = ArrayList<Supply>()
+    private fun supply(types: Collection<MachineType>, workers: Map<String, Machine>, nowMicros: Long): MutableList<Supply> {
+        val supply = LinkedHashMap<MachineSort, Supply>()
         for (machine in machines.values) {
             if (isOwned(machine.name) || machine.returning || machine.status == "failed") continue
             val worker = workers[machine.name]
             val overdue = worker == null && nowMicros - machine.rentedMicros > OVERDUE_BOOTS * machine.type.startupMicros
             if (overdue || worker?.draining == true || (worker != null && worker.deafSinceMicros > 0)) continue
-            supply += Supply(machine.type, machine.yard, machine.loaners, machine.type.vcpus)
+            supply.getOrPut(machine.sort) { Supply(machine.sort) }.add(1)
         }
-        for ((request, _) in pendingRents.values) {
-            val type = supply.firstOrNull { it.type.name == request.build }?.type ?: continue
-            supply += Supply(type, request.yard, request.loaners, request.number * type.vcpus)
+        for (request in pendingRents.values) {
+            val type = types.firstOrNull { it.name == request.build } ?: continue
+            val sort = MachineSort(type, request.yard, request.loaners)
+            supply.getOrPut(sort) { Supply(sort) }.add(request.number)
         }
         // Small and cheap ones first, so that large ones stay for those who need them.
-        supply.sortBy { it.type.vcpus }
-        return supply
+        return supply.values.sortedBy { it.sort.type.vcpus }.toMutableList()
     }
 
     /** What could be rented for [job], the cheapest first, without what was refused lately. */
-    private fun offers(job: Job, types: Collection<MachineType>, nowMicros: Long): List<Offer> {
+    private fun offers(job: Job, types: Collection<MachineType>, nowMicros: Long): List<MachineSort> {
         val spec = job.spec
         return types.filter { it.takes(spec) }.flatMap { type ->
             val perMachine = Math.floor(type.vcpus / spec.vcpus + EPSILON)
             val yards = type.yards.ifEmpty { settings.zones }.filter { spec.yard == null || it == spec.yard }
             yards.flatMap { yard ->
-                val ordinary = Offer(type.name, yard, false) to type.price / perMachine
-                if (spec.loaners) listOf(ordinary, Offer(type.name, yard, true) to type.marketPrice / perMachine) else listOf(ordinary)
+                val ordinary = MachineSort(type, yard, false) to type.price / perMachine
+                if (spec.loaners) listOf(ordinary, MachineSort(type, yard, true) to type.marketPrice / perMachine) else listOf(ordinary)
             }
         }.filter { (offer, _) -> (refusals[offer]?.untilMicros ?: 0L) <= nowMicros }
             .sortedBy { it.second }
@@ -169,12 +190,14 @@
     fun isOwned(name: String): Boolean = standing?.contains(name) ?: true
 
     /** Machines to be given back now, with the reason. */
-    fun toReturn(workers: Map<String, Machine>, planned: Set<String>, demandCeased: Boolean, nowMicros: Long): Map<String, String> {
+    fun toReturn(workers: Map<String, Machine>, planned: (Machine) -> Boolean, demandCeased: Boolean, nowMicros: Long): Map<String, String> {
         val reasons = LinkedHashMap<String, String>()
+        val freshMicros = QUIET_MICROS + settings.workers.reportMicros
+        val heardYards = workers.values.filter { nowMicros - it.reportedMicros < freshMicros }.mapTo(HashSet()) { it.yard }
         for (machine in machines.values) {
             if (machine.returning) continue
             val worker = workers[machine.name]
-            reasons[machine.name] = reasonToReturn(machine, worker, planned, demandCeased, workers.values, nowMicros) ?: continue
+            reasons[machine.name] = reasonToReturn(machine, worker, planned, demandCeased, heardYards, nowMicros) ?: continue
         }
         return reasons
     }
@@ -182,9 +205,9 @@
     private fun reasonToReturn(
         machine: CloudMachine,
         worker: Machine?,
-        planned: Set<String>,
+        planned: (Machine) -> Boolean,
         demandCeased: Boolean,
-        workers: Collection<Machine>,
+        heardYards: Set<String>,
         nowMicros: Long,
     ): String? {
         if (machine.status == "failed") return "has stopped by itself"
@@ -198,13 +221,14 @@
         val recall = worker.recallMicros
         if (recall != null && silent >= recall - RECALL_MARGIN_MICROS) return "recalled"
         val quiet = settings.workers.reportMicros * QUIET_REPORTS + QUIET_MICROS
-        if (machine.loaners && silent > quiet && neighbourReports(worker, workers, nowMicros)) return "taken without notice"
+        if (machine.loaners && silent > quiet && worker.yard in heardYards) return "taken without notice"
         val longSilent = if (isOwned(machine.name)) OWNED_SILENT_MICROS else SILENT_MICROS
-        if (silent > longSilent && neighbourReports(worker, workers, nowMicros)) return "silent"
+        // A zone that is silent as a whole is more likely cut off than gone.
+        if (silent > longSilent && worker.yard in heardYards) return "silent"
         if (worker.deafSinceMicros > 0 && nowMicros - worker.deafSinceMicros > SILENT_MICROS) return "does not hear"
         if (worker.placements.isNotEmpty() || worker.reservedFor != null || silent > quiet) return null
         val idle = nowMicros - worker.idleSinceMicros
-        if (machine.name in planned) return null
+        if (planned(worker)) return null
         if (isOwned(machine.name)) {
             val patience = if (demandCeased) policy.idleReturnMicros else policy.ownedIdleMicros
             return if (idle > patience) "owned, long idle" else null
@@ -212,10 +236,6 @@
         return if (idle > policy.idleReturnMicros) "idle" else null
     }
 
-    /** A zone that is silent as a whole is more likely cut off than gone. */
-    private fun neighbourReports(worker: Machine, workers: Collection<Machine>, nowMicros: Long): Boolean =
-        workers.any { it !== worker && it.yard == worker.yard && nowMicros - it.reportedMicros < QUIET_MICROS + settings.workers.reportMicros }
-
     private companion object {
         const val ABSENCE_LAGS = 4
         const val ABSENCE_MICROS = 20_000_000L
@@ -224,6 +244,7 @@
         const val LEAST_WISH = 0.5
         const val EPSILON = 1e-6
         const val MAX_NUMBER = 50
+        const val MOST_CALLS_AN_OFFER = 4
         const val OVERDUE_BOOTS = 2
         const val NEVER_BOOTS = 4
         const val NEVER_MICROS = 20_000_000L
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -62,7 +62,7 @@
     private val events = Channel<() -> Unit>(EVENTS)
     private val times = TaskTimes()
     private val planner = Planner(settings, policy, times)
-    private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner, wallMicros)
+    private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner, wallMicros, clock)
     private val fleet = Fleet(settings, policy, authority.helm)
     private val steward = Steward(cluster, fleet, planner, policy)
     private val jobLedger = JobLedger(store, scope, authority, { cluster }, events::send, ::changed)
@@ -153,7 +153,6 @@
                 events.send {
                     val now = clock.nowMicros()
                     fleet.listed(list, cluster.types, now)
-                    fleet.standing?.let(cluster::markOwned)
                     val absent = cluster.forgetAbsent(fleet.machines.keys, now)
                     if (absent.isNotEmpty()) fleetLedger.remove(absent)
                 }
@@ -182,7 +181,10 @@
             log.info("standing fleet: {} machines", found.size)
             found
         }
-        events.send { fleet.standing = names.toSet() }
+        events.send {
+            fleet.standing = names.toSet()
+            cluster.markOwned(names.toSet())
+        }
     }
 
     private fun rent(request: RentRequest) {
@@ -202,7 +204,7 @@
                             if (result.names.size < request.number) steward.lookSoon()
                         }
                     RentResult.NoCapacity -> return@launch events.send {
-                        fleet.refused(request, clock.nowMicros())
+                        fleet.refused(request, cluster.types, clock.nowMicros())
                         steward.lookSoon()
                     }
                     RentResult.Unknown -> delay(SECOND_MICROS / 1_000)
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -7,6 +7,7 @@
 import linemast.planning.Planner
 import linemast.planning.TaskTimes
 import linemast.settings.Settings
+import linemast.wire.Clock
 import linemast.workers.Job
 import linemast.workers.Machine
 import linemast.workers.Order
@@ -15,6 +16,7 @@
 import linemast.workers.PieceStatus
 import linemast.workers.Placement
 import linemast.workers.Report
+import linemast.workers.TaskKey
 import org.slf4j.LoggerFactory
 
 /**
@@ -33,6 +35,7 @@
     val times: TaskTimes,
     val planner: Planner,
     val wallMicros: () -> Long,
+    private val clock: Clock,
 ) {
     private val log = LoggerFactory.getLogger(Cluster::class.java)
     val jobs = LinkedHashMap<String, Job>()
@@ -44,8 +47,16 @@
         private set
     private var unsettled = true
 
-    /** Machines that may still hold unseen tasks of an earlier leader; changes at reports and ticks only. */
-    private var unseenOn = emptyList<Machine>()
+    /** Machines that may still hold unseen tasks of an earlier leader. */
+    private val unseenOn = LinkedHashSet<Machine>()
+    private var unseenChanged = false
+
+    /** Tasks that were chosen for a machine and whose command has not left. */
+    private val chosen = LinkedHashSet<Placement>()
+
+    /** Tasks that are being stopped to make room or before a recall. */
+    val halting = LinkedHashSet<Placement>()
+    private var owned: Set<String> = emptySet()
 
     /** Machines of which the cloud has confirmed that they are gone; names are never used again. */
     private val returned = object : LinkedHashSet<String>() {
@@ -71,7 +82,7 @@
 
     /** Set by whatever may change what can be placed. */
     var dirty = true
-    private var lastPassMicros = 0L
+    private var nextPassMicros = 0L
 
     /** Leases that some leader could have renewed are over after this long, on any clock. */
     private val leaseSpanMicros = settings.workers.leaseMicros.let { it + 2 * Authority.drift(it) + LEASE_MARGIN_MICROS }
@@ -92,7 +103,9 @@
             // An earlier leader in its grace may answer this worker until then.
             machine.leaseEndMicros = graceEndMicros + leaseSpanMicros
             machines[machine.name] = machine
+            unseenOn += machine
         }
+        unseenChanged = true
         settle(nowMicros)
     }
 
@@ -144,12 +157,24 @@
     }
 
     private fun put(placement: Placement) {
+        if (placement.isAssigned) chosen += placement
         placement.machine.put(placement)
         placement.job?.add(placement)
         placement.job?.let { usage.add(it.spec, 1) }
     }
 
+    /** Choices whose command has not left may be dropped at will. */
+    fun forgetChoices() = chosen.toList().forEach(::remove)
+
+    fun halt(placement: Placement, reason: String, windDownMicros: Long) {
+        placement.haltReason = reason
+        placement.haltWindDownMicros = windDownMicros
+        halting += placement
+    }
+
     fun remove(placement: Placement) {
+        chosen -= placement
+        halting -= placement
         placement.machine.remove(placement)
         placement.job?.let {
             it.remove(placement)
@@ -186,8 +211,11 @@
         if (!mayOrder) return emptyList()
         // A worker that does not show this helm has not heard this leader yet, and may never.
         val mayStart = machine.hears && report.helm >= helm
-        settle(nowMicros)
-        if (dirty && nowMicros - lastPassMicros >= PASS_MICROS) pass(nowMicros)
+        if (unsettled && machine.helm >= helm && unseenOn.remove(machine)) {
+            unseenChanged = true
+            if (unseenOn.isEmpty()) settle(nowMicros)
+        }
+        passIfDue(nowMicros)
         return orders(machine, mayStart, nowMicros)
     }
 
@@ -195,6 +223,7 @@
         machines[report.rig]?.let { return it }
         val type = types[report.build] ?: return null
         val machine = Machine(report.rig, type, report.yard, report.loaners)
+        machine.owned = machine.name in owned
         machines[report.rig] = machine
         dirty = true
         return machine
@@ -210,10 +239,10 @@
     }
 
     private fun reconcile(machine: Machine, report: Report, nowMicros: Long) {
-        val seen = HashSet<String>()
+        val seen = HashSet<TaskKey>()
         machine.ended.clear()
         for (piece in report.pieces) {
-            val key = Machine.key(piece.piece, piece.attempt)
+            val key = piece.key
             seen += key
             var placement = machine.placements[key]
             if (piece.status == PieceStatus.ENDED) {
@@ -246,8 +275,7 @@
             if (!placement.isRunning || job.spec.neverSaves || placement.haltReason != null) continue
             val stopped = if (job.spec.isGang) job.placements.filter { !it.isAssigned } else listOf(placement)
             for (mate in stopped) {
-                mate.haltReason = "${machine.name} is recalled"
-                mate.haltWindDownMicros = job.spec.markMicros + settings.workers.gangPeerMicros
+                halt(mate, "${machine.name} is recalled", job.spec.markMicros + settings.workers.gangPeerMicros)
             }
         }
     }
@@ -329,6 +357,7 @@
                 }
                 placement.phase = Placement.Phase.SENT
                 placement.sentMicros = nowMicros
+                chosen -= placement
                 placement.job?.gangAttemptUsed = true
                 orders += Order.Start(placement.piece, placement.attempt)
             } else if (shouldHalt(placement)) {
@@ -342,7 +371,7 @@
     private fun mayClear(machine: Machine, piece: PieceReport): Boolean {
         val job = jobs[piece.piece.job]
         if (job == null || job.withdrawn || job.finished) return true
-        if (job.spec.isGang) job.clearedGang += "${machine.name}#${piece.attempt}"
+        if (job.spec.isGang) job.clearedOn(machine, piece.attempt)
         if (piece.cause != "done") return true
         val part = DoneSet.partOf(piece.piece.index)
         return !job.dirtyParts.get(part) && !job.writingDone
@@ -368,7 +397,7 @@
 
     /** Regular work: ends leases, follows up on cancelled jobs, places what can be placed. */
     fun tick(nowMicros: Long) {
-        for (machine in machines.values.toList()) {
+        for (machine in machines.values) {
             if (nowMicros >= machine.leaseEndMicros && machine.placements.isNotEmpty()) {
                 log.info("{}: silent for longer than a lease, {} tasks lost", machine.name, machine.placements.size)
                 machine.placements.values.toList().forEach(::remove)
@@ -377,12 +406,12 @@
         }
         releaseReservations(nowMicros)
         // What was chosen for a machine that has fallen silent since is chosen anew.
-        if (!dirty) dirty = machines.values.any { machine -> !placer.isFresh(machine, nowMicros) && machine.placements.values.any { it.isAssigned } }
+        if (!dirty) dirty = chosen.any { !placer.isFresh(it.machine, nowMicros) }
         settle(nowMicros)
         val unrecorded = machines.values.filter { !it.onRecord && it.reportedMicros > 0 }
         if (unrecorded.isNotEmpty()) effects.storeMachines(unrecorded)
         for (job in jobs.values.toList()) follow(job, nowMicros)
-        if (dirty && nowMicros - lastPassMicros >= PASS_MICROS) pass(nowMicros)
+        passIfDue(nowMicros)
     }
 
     /** Those that are over, or whose job has no more need: nothing else would have the machines looked at again. */
@@ -406,10 +435,12 @@
         }
     }
 
-    private fun pass(nowMicros: Long) {
-        lastPassMicros = nowMicros
-        dirty = false
+    /** Passes take a bounded part of the time, however large the fleet: what a long one costs, reports get before the next. */
+    private fun passIfDue(nowMicros: Long) {
+        if (!dirty || nowMicros < nextPassMicros) return
+        val start = clock.nowMicros()
         placer.pass(nowMicros)
+        nextPassMicros = nowMicros + maxOf(PASS_MICROS, (clock.nowMicros() - start) * SPANS_A_PASS)
     }
 
     fun open(job: Job) {
@@ -424,23 +455,28 @@
      */
     private fun settle(nowMicros: Long) {
         if (!unsettled) return
-        val before = unseenOn.size
-        unseenOn = machines.values.filter { it.inherited && it.helm < helm && nowMicros < it.leaseEndMicros }
-        if (unseenOn.isNotEmpty()) {
-            if (unseenOn.size == before) return
-            for (job in jobs.values) if (job.unseen) job.unseen = unseenOn.any { it.allows(job.spec) }
+        if (unseenOn.removeIf { it.helm >= helm || nowMicros >= it.leaseEndMicros || machines[it.name] !== it }) unseenChanged = true
+        if (unseenOn.isEmpty()) {
+            unsettled = false
+            dirty = true
+            log.info("settled {} ms after loading: {} machines, {} jobs", (nowMicros - loadedMicros) / 1_000, machines.size, jobs.size)
+        } else if (unseenChanged) {
+            val sorts = unseenOn.mapTo(HashSet()) { it.sort }
+            for (job in jobs.values) if (job.unseen) job.unseen = sorts.any { it.allows(job.spec) }
             dirty = true
-            return
         }
-        unsettled = false
-        dirty = true
-        log.info("settled {} ms after loading: {} machines, {} jobs", (nowMicros - loadedMicros) / 1_000, machines.size, jobs.size)
+        unseenChanged = false
     }
 
     /** Whether most workers that reported to this leader have fallen silent at once. */
     fun hasLostWorkers(nowMicros: Long): Boolean {
-        val known = machines.values.count { it.reportedMicros > 0 && !it.draining }
-        val heard = machines.values.count { it.reportedMicros > 0 && !it.draining && nowMicros - it.reportedMicros < lostWorkersMicros }
+        var known = 0
+        var heard = 0
+        for (machine in machines.values) {
+            if (machine.reportedMicros == 0L || machine.draining) continue
+            known++
+            if (nowMicros - machine.reportedMicros < lostWorkersMicros) heard++
+        }
         return known >= FEW_WORKERS && heard * 4 < known
     }
 
@@ -452,6 +488,7 @@
 
     /** Which machines are owned is known by the fleet. */
     fun markOwned(names: Set<String>) {
+        owned = names
         machines.values.forEach { it.owned = it.name in names }
     }
 
@@ -484,6 +521,9 @@
         const val ATTEMPTS_PER_HELM = 1L shl 24
         const val LEASE_MARGIN_MICROS = 300_000L
         const val PASS_MICROS = 100_000L
+
+        /** A pass is followed by at least this many times its own span without one. */
+        const val SPANS_A_PASS = 8
         const val UNANSWERED_MICROS = 4_700_000L
         const val REPORT_SLACK_MICROS = 1_000_000L
         const val FEW_WORKERS = 3
--- /dev/null
+++ b/src/main/kotlin/linemast/placement/JobOrder.kt
@@ -0,0 +1,31 @@
+package linemast.placement
+
+import linemast.planning.Planner
+import linemast.workers.Job
+
+/** The order in which jobs get what is free. */
+object JobOrder {
+    class Ranked(val job: Job, val guaranteed: Boolean, val missed: Int, val dueMicros: Long) {
+        val isPartGang = job.spec.isGang && job.placements.isNotEmpty()
+    }
+
+    private val order = compareBy<Ranked>(
+        { !it.isPartGang },
+        { !it.guaranteed },
+        { it.job.spec.urgency.ordinal },
+        { it.missed },
+        { it.dueMicros },
+    )
+
+    fun sorted(jobs: Collection<Job>, usage: TeamUsage, planner: Planner, wallMicros: Long): List<Ranked> {
+        val claimed = HashMap<String, Double>()
+        return jobs.filter { !it.withdrawn && !it.finished }
+            .sortedBy { it.acceptedWallMicros }
+            .map { job ->
+                val cpus = claimed.merge(job.spec.crew, job.spec.pieces * job.spec.vcpus, Double::plus) ?: 0.0
+                val guaranteed = cpus <= (usage.team(job.spec.crew)?.cpus ?: 0.0)
+                Ranked(job, guaranteed, planner.aims.missed(job, wallMicros), planner.dueWallMicros(job))
+            }
+            .sortedWith(order)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/placement/Pass.kt
@@ -0,0 +1,79 @@
+package linemast.placement
+
+import linemast.workers.Job
+import linemast.workers.Placement
+
+/** What one pass of placement works with: jobs in their order, machines by their room, and what teams may still use. */
+internal class Pass(
+    val nowMicros: Long,
+    val jobs: List<JobOrder.Ranked>,
+    val machines: UsableMachines,
+    private val cluster: Cluster,
+) {
+    private class Amounts(val cpus: Double, val gpus: Double)
+
+    private val unseen = HashMap<String, Amounts>()
+
+    /** Gangs that wait for tasks to be placed, by team. */
+    private val gangs: Map<String, List<Job>> =
+        jobs.map { it.job }.filter { it.spec.isGang && it.pendingCount > 0 }.groupBy { it.spec.crew }
+
+    /** How far teams are beyond their guarantees, less what is being stopped already. */
+    private val excess = HashMap<String, Double>()
+
+    /** Sweeps that run beyond their teams' guarantees. */
+    val borrowers: List<Job> by lazy {
+        jobs.filter { !it.guaranteed && !it.job.spec.isGang && it.job.placements.isNotEmpty() }.map { it.job }
+    }
+
+    /** Tasks on their way out, by the job they make room for. */
+    private val onTheWay: Map<Job?, Int> by lazy { cluster.halting.groupingBy { it.haltedFor }.eachCount() }
+
+    fun onTheWayFor(job: Job): Int = onTheWay[job] ?: 0
+
+    fun place(placement: Placement): Placement = placement.also { machines.changed(it, put = true) }
+
+    fun unplace(placement: Placement) {
+        cluster.remove(placement)
+        machines.changed(placement, put = false)
+    }
+
+    /** Beyond its guarantee a team of others may be pushed back; what was stopped for one job does not count for the next. */
+    fun excessOf(team: String): Double = excess.getOrPut(team) {
+        cluster.usage.beyondGuarantee(team) - cluster.halting.sumOf { placement -> placement.job?.spec?.takeIf { it.crew == team }?.vcpus ?: 0.0 }
+    }
+
+    fun pushedBack(team: String, vcpus: Double) {
+        excess[team] = excessOf(team) - vcpus
+    }
+
+    /**
+     * How many more tasks of [job] its team's limit allows beside what may run unseen and what is left to the team's
+     * more urgent gangs: to those that nothing else holds back, and to [next], which has not come yet.
+     */
+    fun roomInTeam(job: Job, next: KeptRoom?): Int {
+        val hidden = unseenOf(job.spec.crew)
+        var cpus = 0.0
+        var gpus = 0.0
+        for (gang in gangs[job.spec.crew].orEmpty()) {
+            if (gang === job || gang.heldBy != Placer.TEAM_LIMIT || gang.pendingCount == 0 || !comesBefore(gang, job)) continue
+            cpus += gang.pendingCount * gang.spec.vcpus
+            gpus += gang.pendingCount * gang.spec.gpus
+        }
+        return cluster.usage.room(
+            job.spec, hidden.cpus + maxOf(cpus, next?.cpus ?: 0.0), hidden.gpus + maxOf(gpus, next?.gpus ?: 0.0),
+        )
+    }
+
+    class KeptRoom(val cpus: Double, val gpus: Double)
+
+    private fun unseenOf(team: String): Amounts = unseen.getOrPut(team) {
+        Amounts(cluster.unseen(team) { it.spec.vcpus }, cluster.unseen(team) { it.spec.gpus })
+    }
+
+    private fun comesBefore(gang: Job, job: Job): Boolean = when {
+        gang.waitsLong && job.waitsLong -> gang.acceptedWallMicros < job.acceptedWallMicros
+        gang.waitsLong || job.waitsLong -> gang.waitsLong
+        else -> gang.spec.urgency < job.spec.urgency
+    }
+}
--- a/src/main/kotlin/linemast/placement/ScarceTypes.kt
+++ b/src/main/kotlin/linemast/placement/ScarceTypes.kt
@@ -2,7 +2,6 @@
 
 import linemast.cloud.MachineType
 import linemast.jobs.JobSpec
-import linemast.workers.Machine
 
 /**
  * Keeps machines that only some jobs need free of tasks that fit elsewhere.
@@ -30,23 +29,26 @@
         }
     }
 
-    /** Whether other lanes need machines of [type] more than [spec] does; spot ones are needed by those that may use them. */
-    fun isScarceFor(type: MachineType, loaners: Boolean, spec: JobSpec): Boolean = others(type, loaners, spec).isNotEmpty()
+    /** What speaks against putting a task on machines of one type and kind. */
+    class Scarcity(
+        /** Whether other lanes need such machines more; spot ones are needed by those that may use them. */
+        val isScarce: Boolean,
+        /** Whether work that got there could not be stopped for those that need them: it must not get there. */
+        val isClosed: Boolean,
+        /** The types that serve those who need them. */
+        val neededTypes: Set<String>,
+    )
+
+    fun of(type: MachineType, loaners: Boolean, spec: JobSpec): Scarcity {
+        val others = others(type, loaners, spec)
+        return Scarcity(
+            others.isNotEmpty(), others.any { it.spec.urgency >= spec.urgency }, others.firstOrNull()?.typeNames ?: emptySet(),
+        )
+    }
 
-    /** Whether work of [spec], once on such a machine, could not be stopped for those that need it: it must not get there. */
     fun isClosedTo(type: MachineType, loaners: Boolean, spec: JobSpec): Boolean =
         others(type, loaners, spec).any { it.spec.urgency >= spec.urgency }
 
-    /** Whether [machine] had better not take a task of [spec]. */
-    fun keepFree(spec: JobSpec, machine: Machine, machines: Collection<Machine>): Boolean {
-        val others = others(machine.type, machine.loaners, spec)
-        if (others.isEmpty()) return false
-        if (others.any { it.spec.urgency >= spec.urgency }) return true
-        if (machine.placements.isNotEmpty()) return false
-        val idle = machines.count { it.type.name in others.first().typeNames && it.placements.isEmpty() && !it.draining }
-        return idle <= KEPT_IDLE
-    }
-
     private fun others(type: MachineType, loaners: Boolean, spec: JobSpec): List<Need> {
         if (needs[spec.lane]?.typeNames?.contains(type.name) == true) return emptyList()
         return needs.values.filter { type.name in it.typeNames && (it.spec.loaners || !loaners) }
@@ -54,6 +56,5 @@
 
     private companion object {
         const val MEMORY_MICROS = 900_000_000L
-        const val KEPT_IDLE = 1
     }
 }
--- a/src/main/kotlin/linemast/planning/Forecast.kt
+++ b/src/main/kotlin/linemast/planning/Forecast.kt
@@ -3,11 +3,13 @@
 import linemast.cloud.MachineType
 import linemast.workers.Job
 import linemast.workers.Machine
+import linemast.workers.MachineSort
 
 /**
  * The forecast of free owned room: per machine and interval, its vcpus less what will still run then.
  *
- * Waiting demand comes off as jobs book their targets in their order; no room is below zero.
+ * Waiting demand comes off as jobs book their targets in their order; no room is below zero. Machines of a sort are
+ * kept as counts by how much room they have, in [LEVELS] steps, so that a look or a booking does not go over the fleet.
  */
 class Forecast(
     machines: Collection<Machine>,
@@ -17,50 +19,87 @@
     times: TaskTimes,
     private val closed: (MachineType, Boolean, Job) -> Boolean,
 ) {
-    private class Row(val machine: Machine, val room: DoubleArray, val freeNow: Double)
+    /** How many machines have room of how many steps, now and in each interval. */
+    private class Rows(val sort: MachineSort, intervals: Int) {
+        val stepVcpus = sort.type.vcpus / LEVELS
+        val now = IntArray(LEVELS + 1)
+        val byInterval = Array(intervals) { IntArray(LEVELS + 1) }
 
-    private val rows = machines.map { machine ->
-        val room = DoubleArray(intervals) { machine.type.vcpus }
-        for (placement in machine.placements.values) {
-            val job = placement.job
-            if (placement.isAssigned) continue
-            val vcpus = job?.spec?.vcpus ?: machine.type.vcpus
-            val started = maxOf(placement.runningSinceMicros, placement.sentMicros)
-            val left = if (job == null) 0L else started + times.estimateMicros(job) - startMicros
-            for (i in 0 until intervals) {
-                // The part of the interval in which the task still runs is not free.
-                val busy = (left - i * intervalMicros).coerceIn(0L, intervalMicros).toDouble() / intervalMicros
-                room[i] = (room[i] - vcpus * busy).coerceAtLeast(0.0)
+        fun levelOf(vcpus: Double): Int = Math.floor(vcpus / stepVcpus + EPSILON).toInt().coerceIn(0, LEVELS)
+
+        /** Tasks of [vcpus] each that fit side by side, each on one machine. */
+        fun places(counts: IntArray, vcpus: Double): Double {
+            var places = 0.0
+            for (level in LEVELS downTo 1) {
+                val each = Math.floor(level * stepVcpus / vcpus + EPSILON)
+                if (each < 1) break
+                places += counts[level] * each
+            }
+            return places
+        }
+
+        /** Takes room of [vcpus] in all, from the fullest machines first; what was not to be had. */
+        fun take(counts: IntArray, vcpus: Double): Double {
+            var left = vcpus
+            for (level in 1..LEVELS) {
+                val each = level * stepVcpus
+                val whole = minOf(counts[level], (left / each + EPSILON).toInt())
+                counts[level] -= whole
+                counts[0] += whole
+                left -= whole * each
+                if (counts[level] == 0) continue
+                counts[level]--
+                counts[level - Math.ceil(left / stepVcpus - EPSILON).toInt().coerceIn(0, level)]++
+                return 0.0
             }
+            return left
         }
-        Row(machine, room, machine.freeVcpus)
     }
 
-    /** Tasks of [job] that may run side by side in interval [i], going by what is left on each machine. */
-    fun roomFor(job: Job, i: Int): Double = rows.sumOf { row ->
-        if (isOpen(row.machine, job)) Math.floor(row.room[i] / job.spec.vcpus + EPSILON) else 0.0
+    private val rows: List<Rows> = rowsOf(machines, times)
+
+    private fun rowsOf(machines: Collection<Machine>, times: TaskTimes): List<Rows> {
+        val bySort = LinkedHashMap<MachineSort, Rows>()
+        val room = DoubleArray(intervals)
+        for (machine in machines) {
+            val rows = bySort.getOrPut(machine.sort) { Rows(machine.sort, intervals) }
+            room.fill(machine.type.vcpus)
+            for (placement in machine.placements.values) {
+                val job = placement.job
+                if (placement.isAssigned || job == null) continue
+                val left = maxOf(placement.runningSinceMicros, placement.sentMicros) + times.estimateMicros(job) - startMicros
+                for (i in 0 until intervals) {
+                    // The part of the interval in which the task still runs is not free.
+                    val busy = (left - i * intervalMicros).coerceAtMost(intervalMicros).toDouble() / intervalMicros
+                    if (busy <= 0) break
+                    room[i] -= job.spec.vcpus * busy
+                }
+            }
+            rows.now[rows.levelOf(machine.freeVcpus)]++
+            for (i in 0 until intervals) rows.byInterval[i][rows.levelOf(room[i])]++
+        }
+        return bySort.values.sortedBy { it.sort.type.vcpus }
     }
 
+    /** Tasks of [job] that may run side by side in interval [i], going by what is left on each machine. */
+    fun roomFor(job: Job, i: Int): Double = rows.sumOf { if (isOpen(it, job)) it.places(it.byInterval[i], job.spec.vcpus) else 0.0 }
+
     /** Tasks of [job] that could start at once. */
-    fun freeNow(job: Job): Double = rows.sumOf { row ->
-        if (isOpen(row.machine, job)) Math.floor(row.freeNow / job.spec.vcpus + EPSILON) else 0.0
-    }
+    fun freeNow(job: Job): Double = rows.sumOf { if (isOpen(it, job)) it.places(it.now, job.spec.vcpus) else 0.0 }
 
     /** Takes room for [tasks] tasks side by side in interval [i]. */
     fun book(job: Job, i: Int, tasks: Double) {
         var left = tasks * job.spec.vcpus
-        for (row in rows.sortedBy { it.machine.type.vcpus }) {
-            if (left <= 0) return
-            if (!isOpen(row.machine, job)) continue
-            val taken = minOf(left, row.room[i])
-            row.room[i] -= taken
-            left -= taken
+        for (row in rows) {
+            if (left <= EPSILON) return
+            if (isOpen(row, job)) left = row.take(row.byInterval[i], left)
         }
     }
 
-    private fun isOpen(machine: Machine, job: Job) = machine.allows(job.spec) && !closed(machine.type, machine.loaners, job)
+    private fun isOpen(rows: Rows, job: Job) = rows.sort.allows(job.spec) && !closed(rows.sort.type, rows.sort.loaners, job)
 
     private companion object {
+        const val LEVELS = 64
         const val EPSILON = 1e-6
     }
 }
--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -55,6 +55,13 @@
     val aims = Aims(settings.objectives, settings.teams, times)
     private val plans = HashMap<String, JobPlan>()
 
+    /** By lane: the shortest time to the end and to the start that users aim at. */
+    private val finishedWithin = shortest("finished")
+    private val startedWithin = shortest("wait")
+
+    private fun shortest(kind: String): Map<String?, Long> = settings.objectives.filter { it.kind == kind && it.withinMicros != null }
+        .groupBy { it.lane }.mapValues { (_, aims) -> aims.mapNotNull { it.withinMicros }.min() }
+
     fun planOf(job: Job): JobPlan? = plans[job.id]
 
     fun forget(ids: Set<String>) {
@@ -89,10 +96,8 @@
 
     /** A job without a deadline is planned as if due when the users' aims for its lane say. */
     private fun impliedDueMicros(job: Job): Long {
-        val lane = settings.objectives.filter { it.lane == job.spec.lane && it.withinMicros != null }
-        val finished = lane.filter { it.kind == "finished" }.mapNotNull { it.withinMicros }.minOrNull()
-        val wait = lane.filter { it.kind == "wait" }.mapNotNull { it.withinMicros }.minOrNull()
-        val byWait = wait?.let { it + job.spec.guessMicros }
+        val finished = finishedWithin[job.spec.lane]
+        val byWait = startedWithin[job.spec.lane]?.let { it + job.spec.guessMicros }
         return listOfNotNull(finished, byWait).minOrNull() ?: (job.spec.guessMicros * IMPLIED_RUNS)
     }
 
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -6,6 +6,8 @@
 import linemast.placement.Cluster
 import linemast.placement.JobOrder
 import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.MachineSort
 import org.slf4j.LoggerFactory
 
 /** What the planning wants from the cloud now. */
@@ -23,6 +25,7 @@
     private val log = LoggerFactory.getLogger(Steward::class.java)
     private var plannedMicros = Long.MIN_VALUE
     private var lookedMicros = Long.MIN_VALUE
+    private var freshMicros = Long.MIN_VALUE
     private val known = HashSet<String>()
     private val demand = Demand()
 
@@ -31,25 +34,31 @@
 
     fun step(wallMicros: Long, nowMicros: Long): CloudActions {
         if (fleet.standing == null || !cluster.settled) return NOTHING
+        val arrived = cluster.jobs.values.count { it.id !in known && !it.withdrawn && !it.finished }
+        // New jobs are planned at once, but together: each plan takes stock of the whole fleet.
+        val fresh = arrived > 0 && isDue(freshMicros, FRESH_MICROS, nowMicros)
+        val whole = isDue(plannedMicros, policy.longIntervalMicros, nowMicros)
+        if (!fresh && !whole && !isDue(lookedMicros, policy.shortIntervalMicros, nowMicros)) return NOTHING
         val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, planner, wallMicros).map { it.job }
-        val arrived = jobs.count { it.id !in known }
-        repeat(arrived) { demand.arrived(nowMicros) }
-        val fresh = arrived > 0
-        val whole = plannedMicros == Long.MIN_VALUE || nowMicros - plannedMicros >= policy.longIntervalMicros
-        if (fresh || whole) plan(jobs, whole, wallMicros, nowMicros)
-        val waited = lookedMicros == Long.MIN_VALUE || nowMicros - lookedMicros >= policy.shortIntervalMicros
-        if (!fresh && !whole && !waited) return NOTHING
+        if (fresh || whole) {
+            repeat(arrived) { demand.arrived(nowMicros) }
+            freshMicros = nowMicros
+            plan(jobs, whole, wallMicros, nowMicros)
+        }
         lookedMicros = nowMicros
         return look(jobs, nowMicros)
     }
 
+    private fun isDue(lastMicros: Long, periodMicros: Long, nowMicros: Long): Boolean =
+        lastMicros == Long.MIN_VALUE || nowMicros - lastMicros >= periodMicros
+
     /** A rental was refused or filled in part: the next offer is asked for without waiting out the interval. */
     fun lookSoon() {
         lookedMicros = Long.MIN_VALUE
     }
 
     private fun plan(jobs: List<Job>, whole: Boolean, wallMicros: Long, nowMicros: Long) {
-        val owned = cluster.machines.values.filter { isOwned(it.name) && !it.draining && nowMicros < it.leaseEndMicros }
+        val owned = cluster.machines.values.filter { it.owned && !it.draining && nowMicros < it.leaseEndMicros }
         planner.plan(jobs, owned, whole, ::bootMicros, wallMicros, nowMicros, cluster::isClosedTo)
         known.clear()
         jobs.forEach { known += it.id }
@@ -69,20 +78,28 @@
     }
 
     private fun look(jobs: List<Job>, nowMicros: Long): CloudActions {
-        val wishes = planner.wishes(jobs, { isOwned(it.name) }, nowMicros)
+        val wishes = planner.wishes(jobs, { it.owned }, nowMicros)
         val rentals = fleet.toRent(wishes, cluster.types.values, cluster.machines, ::allowance, cluster::isClosedTo, nowMicros)
         val wanted = wishes.filter { it.slots >= 1.0 }
-        val planned = plannedMachines(wanted.map { it.job }, jobs)
-        val returns = fleet.toReturn(cluster.machines, planned, demand.hasCeased(nowMicros), nowMicros)
-        for ((name, reason) in returns) log.info("returning {}: {}", name, reason)
+        val returns = fleet.toReturn(cluster.machines, planned(wanted.map { it.job }, jobs), demand.hasCeased(nowMicros), nowMicros)
+        for ((reason, names) in returns.entries.groupBy({ it.value }, { it.key })) log.info("returning {}: {}", names, reason)
         return CloudActions(rentals, returns)
     }
 
-    /** Machines that waiting jobs could still use: rented ones if a plan rents for such a job, owned ones for any. */
-    private fun plannedMachines(renting: List<Job>, all: List<Job>): Set<String> = cluster.machines.values.filter { machine ->
-        val users = if (isOwned(machine.name)) all else renting
-        users.any { it.pendingCount > 0 && machine.allows(it.spec) && !cluster.isClosedTo(machine.type, machine.loaners, it) }
-    }.mapTo(HashSet()) { it.name }
+    /** Tells machines that waiting jobs could still use: rented ones if a plan rents for such a job, owned ones for any. */
+    private fun planned(renting: List<Job>, all: List<Job>): (Machine) -> Boolean {
+        val useful = HashMap<MachineSort, Boolean>()
+        val usefulOwned = HashMap<MachineSort, Boolean>()
+        fun hasUse(sort: MachineSort, users: List<Job>) =
+            users.any { it.pendingCount > 0 && sort.allows(it.spec) && !cluster.isClosedTo(sort.type, sort.loaners, it) }
+        return { machine ->
+            if (machine.owned) {
+                usefulOwned.getOrPut(machine.sort) { hasUse(machine.sort, all) }
+            } else {
+                useful.getOrPut(machine.sort) { hasUse(machine.sort, renting) }
+            }
+        }
+    }
 
     /** No more is rented for a job than its team may use at once. */
     private fun allowance(job: Job): Double {
@@ -93,9 +110,8 @@
     private fun bootMicros(job: Job): Long =
         cluster.types.values.filter { it.takes(job.spec) }.minOfOrNull(MachineType::startupMicros) ?: 0L
 
-    private fun isOwned(name: String) = fleet.isOwned(name)
-
     private companion object {
+        const val FRESH_MICROS = 1_000_000L
         val NOTHING = CloudActions(emptyList(), emptyMap())
     }
 }
--- a/src/main/kotlin/linemast/workers/Job.kt
+++ b/src/main/kotlin/linemast/workers/Job.kt
@@ -62,8 +62,14 @@
     val failedOn = HashSet<String>()
     var backOffUntilMicros = 0L
 
-    /** Machine and attempt pairs that were cleared: starting the same again there would run it once more. */
-    val clearedGang = HashSet<String>()
+    /** Machines and attempts that were cleared: starting the same again there would run it once more. */
+    private val cleared = HashSet<Pair<String, Long>>()
+
+    fun clearedOn(machine: Machine, attempt: Long) {
+        cleared += machine.name to attempt
+    }
+
+    fun isClearedOn(machine: Machine): Boolean = cleared.isNotEmpty() && (machine.name to gangAttempt) in cleared
 
     /** Run times of completed tasks against the owner's guess. */
     var measuredMicros = 0L
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -37,6 +37,8 @@
     /** The job it makes room for. */
     var haltedFor: Job? = null
 
+    val key = TaskKey(piece, attempt)
+
     val isAssigned: Boolean get() = phase == Phase.ASSIGNED
     val isRunning: Boolean get() = phase == Phase.RUNNING
 }
@@ -48,6 +50,7 @@
     val yard: String,
     val loaners: Boolean,
 ) {
+    val sort = MachineSort(type, yard, loaners)
     var watch = 0L
     var tick = 0L
 
@@ -98,11 +101,11 @@
         if (hears || reportedMicros == 0L) deafSinceMicros = 0 else if (deafSinceMicros == 0L) deafSinceMicros = nowMicros
     }
 
-    /** Keyed by task and attempt, so that two attempts of one task both count. */
-    val placements = LinkedHashMap<String, Placement>()
+    /** By task and attempt, so that two attempts of one task both count. */
+    val placements = LinkedHashMap<TaskKey, Placement>()
 
     /** Ended tasks to be cleared once their result is stored. */
-    val ended = LinkedHashMap<String, PieceReport>()
+    val ended = LinkedHashMap<TaskKey, PieceReport>()
 
     /** Whether its name is stored among those that may run tasks. */
     var onRecord = false
@@ -134,8 +137,7 @@
     val freeVcpus: Double get() = type.vcpus - usedVcpus
 
     /** Whether a task of [spec] may be here at all. */
-    fun allows(spec: JobSpec): Boolean =
-        type.takes(spec) && (spec.loaners || !loaners) && (spec.yard == null || spec.yard == yard)
+    fun allows(spec: JobSpec): Boolean = sort.allows(spec)
 
     /** Tasks of [spec] that could be put here now, by what it has most of: an upper bound that counts vcpus alone. */
     fun roomFor(spec: JobSpec): Int =
@@ -148,12 +150,12 @@
     }
 
     fun put(placement: Placement) {
-        placements[key(placement.piece, placement.attempt)] = placement
+        placements[placement.key] = placement
         count(placement, 1)
     }
 
     fun remove(placement: Placement) {
-        if (placements.remove(key(placement.piece, placement.attempt)) != null) count(placement, -1)
+        if (placements.remove(placement.key) != null) count(placement, -1)
     }
 
     private fun count(placement: Placement, sign: Int) {
@@ -166,7 +168,5 @@
 
     companion object {
         private const val EPSILON = 1e-6
-
-        fun key(piece: PieceId, attempt: Long) = "$piece#$attempt"
     }
 }
--- a/src/main/kotlin/linemast/workers/Report.kt
+++ b/src/main/kotlin/linemast/workers/Report.kt
@@ -32,13 +32,18 @@
     }
 }
 
+/** One attempt of a task, as it is told apart on its machine. */
+data class TaskKey(val piece: PieceId, val attempt: Long)
+
 class PieceReport(
     val piece: PieceId,
     val attempt: Long,
     val status: PieceStatus,
     val cause: String?,
     val saved: Boolean,
-)
+) {
+    val key = TaskKey(piece, attempt)
+}
 
 /** What a worker says of itself. */
 class Report(
--- a/src/test/kotlin/linemast/placement/ClusterFixture.kt
+++ b/src/test/kotlin/linemast/placement/ClusterFixture.kt
@@ -35,7 +35,7 @@
 
         override fun dropWithdrawn(job: Job) = Unit
     }
-    val cluster: Cluster = Cluster(settings, helm, GRACE_MICROS, effects, times, Planner(settings, Policy(), times)) { now }
+    val cluster: Cluster = Cluster(settings, helm, GRACE_MICROS, effects, times, Planner(settings, Policy(), times), { now }, { now })
 
     init {
         cluster.types = mapOf(TYPE.name to TYPE)
--- /dev/null
+++ b/src/test/kotlin/linemast/placement/UsableMachinesTest.kt
@@ -0,0 +1,100 @@
+package linemast.placement
+
+import linemast.cloud.MachineType
+import linemast.jobs.JobSpec
+import linemast.jobs.OpenRecord
+import linemast.wire.Fields
+import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.PieceId
+import linemast.workers.Placement
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** Led by sorts and free room, a job gets the machines that looking through the whole fleet would give it. */
+class UsableMachinesTest {
+    private val types = listOf(
+        MachineType("small", 4.0, 0.0, 16.0, 10.0, 1.0, 0.4, 0.1, 30_000_000, listOf("a", "b")),
+        MachineType("middle", 16.0, 0.0, 64.0, 10.0, 1.0, 1.5, 0.5, 30_000_000, listOf("a", "b")),
+        MachineType("accelerated", 16.0, 4.0, 64.0, 10.0, 1.0, 6.0, 2.0, 30_000_000, listOf("a", "b")),
+    )
+
+    @Test
+    fun `candidates are those of a plain search, in its order`() {
+        val seed = 23
+        println("seed $seed")
+        var compared = 0
+        repeat(200) { round ->
+            val random = Random(seed * 1_000 + round)
+            val jobs = List(8) { job(it, random) }
+            val scarce = ScarceTypes().apply { learn(jobs.map { it.spec }, types, 0L) }
+            val machines = List(random.nextInt(1, 60)) { machine(it, jobs, random) }
+            val usable = UsableMachines(machines, scarce)
+            for (job in jobs) {
+                val plain = plainly(job, machines, scarce)
+                assertEquals(plain.map { it.name }, usable.candidates(job).map { it.name }.toList(), "${job.spec.lane} ${job.spec.vcpus}")
+                compared += plain.size
+                // What is placed shows in the next search, by the room and by the machines left idle.
+                val machine = plain.randomOrNull(random) ?: continue
+                val placement = Placement(machine, PieceId(job.id, job.nextPending(0)), 1, job)
+                machine.put(placement)
+                usable.changed(placement, put = true)
+                for (other in machines) assertEquals(plainlyKeptFree(job.spec, other, machines, scarce), usable.keepFree(job.spec, other))
+            }
+        }
+        assertTrue(compared > 10_000, "only $compared machines were compared")
+    }
+
+    private fun plainly(job: Job, machines: List<Machine>, scarce: ScarceTypes): List<Machine> = machines
+        .filter { (it.reservedFor == null || it.reservedFor === job) && it.allows(job.spec) && it.fits(job) && it.name !in job.failedOn }
+        .sortedWith(
+            compareBy(
+                { it.reservedFor !== job },
+                { it.reservedFor !== job && scarce.of(it.type, it.loaners, job.spec).isScarce },
+                { it.reservedFor !== job && job.guaranteed && job.spec.bundle !in it.bundles },
+                { it.reservedFor !== job && !it.owned },
+                { if (it.reservedFor === job || it.owned) 0.0 else it.pricePerVcpu },
+                { if (it.reservedFor === job) 0.0 else it.type.vcpus + it.type.gpus * 16 },
+                { it.reservedFor !== job && job.spec.bundle !in it.bundles },
+                { if (it.reservedFor === job) 0.0 else it.freeVcpus },
+            ),
+        )
+
+    private fun plainlyKeptFree(spec: JobSpec, machine: Machine, machines: List<Machine>, scarce: ScarceTypes): Boolean {
+        val scarcity = scarce.of(machine.type, machine.loaners, spec)
+        if (!scarcity.isScarce || scarcity.isClosed) return scarcity.isClosed
+        return machine.placements.isEmpty() && machines.count { it.type.name in scarcity.neededTypes && it.placements.isEmpty() } <= 1
+    }
+
+    private fun machine(number: Int, jobs: List<Job>, random: Random): Machine {
+        val machine = Machine("host-%06d".format(number), types.random(random), listOf("a", "b").random(random), random.nextBoolean())
+        machine.owned = !machine.loaners && random.nextBoolean()
+        repeat(random.nextInt(4)) { machine.bundles += "img-${random.nextInt(3)}" }
+        repeat(random.nextInt(6)) { at ->
+            val job = jobs.random(random)
+            if (machine.fits(job)) machine.put(Placement(machine, PieceId("req-99", at), 1, job))
+        }
+        if (random.nextInt(6) == 0) machine.reservedFor = jobs.random(random)
+        if (random.nextInt(8) == 0) jobs.random(random).failedOn += machine.name
+        return machine
+    }
+
+    private fun job(number: Int, random: Random): Job {
+        val gpus = if (random.nextInt(4) == 0) 1.0 else 0.0
+        val spec = JobSpec.read(
+            Fields(
+                mapOf(
+                    "name_id" to "req-$number", "lane" to "lane-${number % 4}", "crew" to "team", "shape" to "sweep",
+                    "urgency" to listOf("critical", "high", "normal", "idle")[number % 4], "pieces" to 20,
+                    "vcpus" to listOf(0.5, 1.0, 1.3, 4.0, 12.0)[number % 4 + if (gpus > 0) 1 else 0], "gpus" to gpus, "memory_gb" to 1.0,
+                    "bundle" to "img-${random.nextInt(3)}", "pull_gb" to 1.0, "yard" to listOf(null, "a", "b")[random.nextInt(3)],
+                    "same_place" to false, "apart" to false, "loaners" to random.nextBoolean(), "guess_s" to 10.0, "mark_every_s" to 0.0,
+                    "mark_s" to 0.0, "due_s" to 100.0,
+                ),
+            ),
+        )
+        return Job(OpenRecord(spec, 0L, opened = true, withdrawn = false), 1L, inherited = false).also { it.guaranteed = random.nextBoolean() }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/size/FleetPlay.kt
@@ -0,0 +1,284 @@
+package linemast.size
+
+import linemast.cloud.Fleet
+import linemast.cloud.ListedMachine
+import linemast.cloud.MachineType
+import linemast.jobs.JobSpec
+import linemast.jobs.OpenRecord
+import linemast.placement.Cluster
+import linemast.placement.Effects
+import linemast.planning.Planner
+import linemast.planning.Policy
+import linemast.planning.Steward
+import linemast.planning.TaskTimes
+import linemast.settings.Settings
+import linemast.wire.Fields
+import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.Order
+import linemast.workers.PieceId
+import linemast.workers.PieceReport
+import linemast.workers.PieceStatus
+import linemast.workers.Report
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** A job's part in a [FleetPlay]. */
+internal class PlayJob(val spec: JobSpec, val runMicros: Long)
+
+/**
+ * A leader's decisions at the size of a whole fleet: workers and users in virtual time around a [Cluster] and a
+ * [Steward], without network, store or controllers. All starts are noted, so that two plays can be compared.
+ */
+internal class FleetPlay(
+    private val settings: Settings,
+    private val types: List<MachineType>,
+    standing: List<Pair<MachineType, String>>,
+    private val seed: Int,
+) {
+    private val random = Random(seed)
+    private var number = 0L
+    private val queue = PriorityQueue<Event>()
+    private val times = TaskTimes()
+    private val planner = Planner(settings, Policy(), times)
+    private val fleet = Fleet(settings, Policy(), HELM)
+    private val workers = LinkedHashMap<String, PlayWorker>()
+    var now = 1_000_000L
+        private set
+    val starts = ArrayList<String>()
+    var lost = 0
+        private set
+    val broken = ArrayList<String>()
+    val spent = sortedMapOf<String, Long>()
+    val longest = sortedMapOf<String, Long>()
+    val doneJobs = HashMap<String, Long>()
+    private val running = HashMap<PieceId, PlayWorker>()
+    private val jobs = HashMap<String, PlayJob>()
+
+    private val effects = object : Effects {
+        override fun storeOpened(job: Job) {
+            at(20_000) {
+                job.opened = Job.Opened.YES
+                cluster.dirty = true
+            }
+        }
+
+        override fun storeDone(job: Job) {
+            if (job.isDone) {
+                doneJobs[job.id] = now
+                job.finished = true
+                cluster.jobs.remove(job.id)
+            }
+            job.dirtyParts.clear()
+        }
+
+        override fun storeMachines(machines: List<Machine>) = machines.forEach { it.onRecord = true }
+
+        override fun dropWithdrawn(job: Job) = Unit
+    }
+    val cluster: Cluster = Cluster(settings, HELM, 10_000_000L, effects, times, planner, { now }, { now })
+    private val steward = Steward(cluster, fleet, planner, Policy())
+
+    private class Event(val atMicros: Long, val number: Long, val action: () -> Unit) : Comparable<Event> {
+        override fun compareTo(other: Event) = compareValuesBy(this, other, { it.atMicros }, { it.number })
+    }
+
+    init {
+        cluster.types = types.associateBy { it.name }
+        cluster.load(emptyList(), emptyList(), now)
+        standing.forEach { (type, yard) -> addWorker(type, yard, false) }
+        list()
+        fleet.standing = workers.keys.toSet()
+        fleet.standing?.let(cluster::markOwned)
+        tick()
+    }
+
+    fun at(afterMicros: Long, action: () -> Unit) {
+        queue.add(Event(now + afterMicros, number++, action))
+    }
+
+    fun playUntil(micros: Long) {
+        while (queue.isNotEmpty() && queue.peek().atMicros <= micros) {
+            val event = queue.poll()
+            now = event.atMicros
+            event.action()
+        }
+        now = micros
+    }
+
+    fun submit(spec: JobSpec, runMicros: Long) {
+        jobs[spec.id] = PlayJob(spec, runMicros)
+        cluster.putJob(OpenRecord(spec, now, opened = false, withdrawn = false), 1)
+    }
+
+    private fun <T> measured(what: String, action: () -> T): T {
+        val start = System.nanoTime()
+        return action().also {
+            val took = System.nanoTime() - start
+            spent.merge(what, took, Long::plus)
+            longest.merge(what, took, ::maxOf)
+        }
+    }
+
+    private fun tick() {
+        measured("tick") { cluster.tick(now) }
+        val actions = measured("steward") { steward.step(now, now) }
+        for (request in actions.rentals) {
+            at(120_000) {
+                val type = types.first { it.name == request.build }
+                val names = List(minOf(request.number, MOST_MACHINES - workers.size).coerceAtLeast(0)) {
+                    addWorker(type, request.yard, request.loaners, (type.startupMicros * (0.6 + 0.9 * random.nextDouble())).toLong())
+                }
+                if (names.isEmpty()) fleet.refused(request, cluster.types, now) else fleet.rented(request, names, cluster.types, now)
+            }
+        }
+        if (actions.returns.isNotEmpty()) {
+            val names = actions.returns.keys.toList()
+            names.forEach {
+                fleet.machines[it]?.returning = true
+                cluster.machines[it]?.draining = true
+            }
+            at(120_000) {
+                names.forEach(::removeWorker)
+                fleet.gone(names)
+                cluster.returned(names)
+            }
+        }
+        at(250_000, ::tick)
+    }
+
+    private fun list() {
+        val list = workers.values.map { ListedMachine(it.name, "", it.type.name, it.yard, it.loaners, "running", now - it.bornMicros) }
+        measured("list") {
+            fleet.listed(list, cluster.types, now)
+            cluster.forgetAbsent(fleet.machines.keys, now)
+        }
+        at(3_000_000, ::list)
+    }
+
+    private fun addWorker(type: MachineType, yard: String, loaners: Boolean, bootMicros: Long = random.nextLong(1_000_000)): String {
+        val worker = PlayWorker("host-%06d".format(workers.size + removed + 1), type, yard, loaners)
+        workers[worker.name] = worker
+        at(bootMicros, worker::report)
+        return worker.name
+    }
+
+    private var removed = 0
+
+    fun removeWorker(name: String) {
+        val worker = workers.remove(name) ?: return
+        removed++
+        worker.gone = true
+        worker.tasks.values.forEach { it.end() }
+    }
+
+    fun killRandom(count: Int) = workers.keys.shuffled(random).take(count).forEach(::removeWorker)
+
+    private inner class PlayTask(val worker: PlayWorker, val piece: PieceId, val attempt: Long) {
+        var status = PieceStatus.FETCHING
+        var cause: String? = null
+
+        fun end(why: String = "halted") {
+            if (status == PieceStatus.ENDED) return
+            if (why != "done" && status == PieceStatus.RUNNING) lost++
+            status = PieceStatus.ENDED
+            cause = why
+            running.remove(piece, worker)
+            worker.changed()
+        }
+
+        fun fetched() {
+            if (status != PieceStatus.FETCHING) return
+            worker.changed()
+            val job = jobs.getValue(piece.job)
+            if (job.spec.isGang && job.spec.pieces > 1) {
+                status = PieceStatus.GATHERING
+                val mates = (0 until job.spec.pieces).mapNotNull { index ->
+                    running[PieceId(piece.job, index)]?.tasks?.get(PieceId(piece.job, index) to attempt)
+                }
+                if (mates.size == job.spec.pieces && mates.all { it.status == PieceStatus.GATHERING }) mates.forEach { it.run(job) }
+            } else {
+                run(job)
+            }
+        }
+
+        private fun run(job: PlayJob) {
+            status = PieceStatus.RUNNING
+            worker.changed()
+            at(job.runMicros) { if (status == PieceStatus.RUNNING) end("done") }
+        }
+    }
+
+    private inner class PlayWorker(val name: String, val type: MachineType, val yard: String, val loaners: Boolean) {
+        val bornMicros = now
+        var gone = false
+        var tick = 0L
+        var helm = 0L
+        var sentMicros = 0L
+        var due = 0L
+        val tasks = LinkedHashMap<Pair<PieceId, Long>, PlayTask>()
+        val bundles = HashSet<String>()
+
+        fun changed() = reportAt(maxOf(now, sentMicros + 500_000))
+
+        private fun reportAt(micros: Long) {
+            if (due in (now + 1)..micros) return
+            due = micros
+            at(micros - now) { if (due == micros) report() }
+        }
+
+        fun report() {
+            if (gone) return
+            sentMicros = now
+            due = 0
+            val report = Report(
+                name, "", type.name, yard, loaners, 1, ++tick, helm, null,
+                tasks.values.map { PieceReport(it.piece, it.attempt, it.status, it.cause, false) },
+            )
+            val orders = measured("report") { cluster.report(report, now, true) }.orEmpty()
+            if (helm != HELM) changed()
+            helm = HELM
+            orders.forEach(::execute)
+            val period = settings.workers.reportMicros
+            reportAt(now + period * 3 / 4 + random.nextLong(period / 2))
+        }
+
+        private fun execute(order: Order) {
+            val key = order.piece to order.attempt
+            when (order) {
+                is Order.Start -> {
+                    val other = running[order.piece]
+                    if (other != null) broken += "ran_twice: ${order.piece}"
+                    starts += "$now ${order.piece} $name"
+                    val task = PlayTask(this, order.piece, order.attempt)
+                    tasks[key] = task
+                    running[order.piece] = this
+                    val bundle = jobs.getValue(order.piece.job).spec.bundle
+                    at(if (bundles.add(bundle)) 2_000_000 else 50_000, task::fetched)
+                    changed()
+                }
+                is Order.Halt -> tasks[key]?.end()
+                is Order.Clear -> tasks.remove(key)
+            }
+        }
+    }
+
+    companion object {
+        const val HELM = 5L
+        private const val MOST_MACHINES = 1_450
+
+        fun spec(
+            id: String, lane: String, crew: String, gang: Boolean, pieces: Int, vcpus: Double, memoryGb: Double, bundle: String,
+            guessS: Double, dueS: Double?,
+        ) = JobSpec.read(
+            Fields(
+                mapOf(
+                    "name_id" to id, "lane" to lane, "crew" to crew, "shape" to if (gang) "gang" else "sweep",
+                    "urgency" to if (gang) "normal" else "idle", "pieces" to pieces, "vcpus" to vcpus, "gpus" to 0.0,
+                    "memory_gb" to memoryGb, "bundle" to bundle, "pull_gb" to 1.0, "same_place" to gang, "apart" to false,
+                    "loaners" to !gang, "guess_s" to guessS, "mark_every_s" to 0.0, "mark_s" to 0.0, "due_s" to dueS,
+                ),
+            ),
+        )
+    }
+}
