Late copies from before a machine was back do not end its new tasks

Cause: a worker that begins from the start counts from 1 again; a late copy from before counts further, or shows a later session, and was taken for the newest word. Reports that do not count get no answer any more, since an answer renews a lease that the books do not count.

The event queue has room for a report from each connection instead of 256: a burst of all workers after a take-over turned some away.

Ruled out: repeated transactions, now played as well, break nothing.

--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -59,7 +59,9 @@
     private val types: () -> List<MachineType>?,
 ) : Effects {
     private val log = LoggerFactory.getLogger(LeaderDuty::class.java)
-    private val events = Channel<() -> Unit>(EVENTS)
+
+    /** A connection has one report under way, so that all of them have room: none is turned away for a burst. */
+    private val events = Channel<() -> Unit>(settings.processLimits.fdLimit)
     private val times = TaskTimes()
     private val planner = Planner(settings, policy, times)
     private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner, wallMicros, clock)
@@ -343,7 +345,6 @@
     }
 
     private companion object {
-        const val EVENTS = 256
         const val RETRY_MILLIS = 250L
         const val LIST_MILLIS = 3_000L
         const val RENT_TRIES = 5
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -87,6 +87,8 @@
     /** Leases that some leader could have renewed are over after this long, on any clock. */
     private val leaseSpanMicros = settings.workers.leaseMicros.let { it + 2 * Authority.drift(it) + LEASE_MARGIN_MICROS }
 
+    private val leastLeaseMicros = settings.workers.leaseMicros.let { it - 2 * Authority.drift(it) }
+
     /** Whether every task that an earlier leader started has been seen or is surely gone. */
     val settled: Boolean get() = !unsettled
 
@@ -183,16 +185,21 @@
         dirty = true
     }
 
-    /** Takes a report and gives the orders for its answer; null for a machine of an unknown type. */
+    /**
+     * Takes a report and gives the orders for its answer; null for no answer that would renew the worker's lease.
+     *
+     * Only a report that counts in the books may be answered: else a worker could keep tasks, answer by answer, that
+     * the books give up at the end of its lease.
+     */
     fun report(report: Report, nowMicros: Long, mayOrder: Boolean): List<Order>? {
         // The cloud has confirmed its end: this is a late copy, and must not bring the machine back.
-        if (report.rig in returned) return emptyList()
+        if (report.rig in returned) return null
         val machine = machineOf(report) ?: return null
-        val newer = machine.isNewer(report)
+        val newer = machine.isNewer(report, nowMicros)
         // A late copy or a report overtaken by a newer one: its worker does not wait for this answer any more.
-        if (!newer && !machine.restarted(report, nowMicros, answeredWithinMicros)) return emptyList()
+        if (!newer && !machine.restarted(report, nowMicros, answeredWithinMicros)) return null
         val usable = machine.hears && machine.helm >= helm
-        machine.heardAgain(report, nowMicros, answeredWithinMicros)
+        machine.heardAgain(report, nowMicros, answeredWithinMicros, leastLeaseMicros)
         if (!usable && machine.hears && report.helm >= helm) dirty = true
         if (!newer || report.watch > machine.watch) endSession(machine)
         machine.watch = report.watch
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -79,10 +79,32 @@
     private var olderTick = 0L
     private var olderMicros = 0L
 
-    fun isNewer(report: Report): Boolean = report.watch > watch || (report.watch == watch && report.tick > tick)
+    /**
+     * Whether [report] is newer than all before it, and surely of the same worker.
+     *
+     * A machine that was back at once counts from the start again, and a late copy from before then counts further.
+     * It shows in one of these: a helm below one shown before, which a worker never forgets; more reports than a worker
+     * sends in the time; a session that the earlier worker had reached, or one that cannot have begun yet.
+     */
+    fun isNewer(report: Report, nowMicros: Long): Boolean {
+        if (report.watch < watch || (report.watch == watch && report.tick <= tick)) return false
+        if (reportedMicros == 0L) return true
+        val most = (nowMicros - reportedMicros) / LEAST_BETWEEN_MICROS + MOST_HELD_BACK
+        val plausible = if (report.watch == watch) report.tick - tick <= most else report.watch > earlierWatch && nowMicros >= sessionSafeMicros
+        return plausible && report.helm >= helm
+    }
+
+    /** Until then the worker's session cannot end: an answer reached it to a report sent less than a lease before. */
+    private var sessionSafeMicros = 0L
+
+    /** When the report before the last one came, in this session; the last one was sent after it. */
+    private var beforeMicros = 0L
+
+    /** The furthest session of a worker that has begun from the start since. */
+    private var earlierWatch = 0L
 
     /**
-     * Whether [report], which is older than one before it, comes from a worker that has begun from the start.
+     * Whether [report], which is not newer than those before it, comes from a worker that has begun from the start.
      *
      * A single one may be a late copy. Two that follow each other, after the lease that the books give the
      * earlier worker is over, are not: that worker would have reported, and would count further.
@@ -92,13 +114,20 @@
         olderWatch = report.watch
         olderTick = report.tick
         olderMicros = nowMicros
-        return follows && nowMicros >= leaseEndMicros
+        if (!follows || nowMicros < leaseEndMicros) return false
+        earlierWatch = maxOf(earlierWatch, watch)
+        sessionSafeMicros = 0
+        beforeMicros = 0
+        helm = 0
+        return true
     }
 
     /** Takes note of whether answers reach the worker, from how soon its next report came. */
-    fun heardAgain(report: Report, nowMicros: Long, mostBetweenMicros: Long) {
+    fun heardAgain(report: Report, nowMicros: Long, mostBetweenMicros: Long, leaseMicros: Long) {
         hears = reportedMicros > 0 && report.watch == watch && nowMicros - reportedMicros <= mostBetweenMicros
         if (hears || reportedMicros == 0L) deafSinceMicros = 0 else if (deafSinceMicros == 0L) deafSinceMicros = nowMicros
+        if (hears && beforeMicros > 0) sessionSafeMicros = beforeMicros + leaseMicros
+        beforeMicros = if (report.watch == watch) reportedMicros else 0L
     }
 
     /** By task and attempt, so that two attempts of one task both count. */
@@ -168,5 +197,11 @@
 
     companion object {
         private const val EPSILON = 1e-6
+
+        /** A worker never reports more often. */
+        private const val LEAST_BETWEEN_MICROS = 500_000L
+
+        /** Reports that a cut may hold back and deliver together. */
+        private const val MOST_HELD_BACK = 4L
     }
 }
--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -6,6 +6,7 @@
 import linemast.workers.Report
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
@@ -112,6 +113,42 @@
         assertEquals(4, worker.tasks.size)
     }
 
+    /**
+     * A machine was back at once: its worker counts from the start, and takes up work again. A copy of a report from
+     * before, which counts further, must not make the leader believe that this work is gone.
+     */
+    @Test
+    fun `a late copy from before a worker began from the start does not end its new tasks`() {
+        for (sessions in listOf(1L, 3L)) {
+            val fixture = ClusterFixture()
+            val worker = HandWorker(fixture, "host-000001").apply { watch = sessions }
+            worker.reportFor(60)
+            val copy = worker.makeReport()
+            worker.watch = 1
+            worker.tick = 0
+            worker.helm = 0
+            worker.reportFor(30)
+            fixture.submit("req-1", 8)
+            worker.reportFor(5)
+            assertEquals(8, worker.tasks.size)
+            val machine = fixture.cluster.machines.getValue(worker.name)
+            assertNull(fixture.cluster.report(copy, fixture.now, mayOrder = true))
+            assertEquals(8, machine.placements.size)
+            worker.reportFor(2)
+            assertEquals(8, machine.placements.size)
+        }
+    }
+
+    /** A worker that looks like an older one may hold tasks: an answer would renew a lease that the books do not count. */
+    @Test
+    fun `a report that does not count gets no answer`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        worker.reportFor(6)
+        worker.tick = 0
+        assertNull(fixture.cluster.report(worker.makeReport(), fixture.now, mayOrder = true))
+    }
+
     /** A copy of a report to an earlier leader must not count as proof that the machine has heard of this one. */
     @Test
     fun `after a take-over opened jobs wait for machines that can hold their tasks, and for no late copy`() {
--- a/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -138,6 +138,7 @@
         world.networkLoss = 0.02
         world.lateCopies = 0.05
         world.store.lostAnswers = 0.02
+        world.store.repeats = 0.05
         while (testScheduler.currentTime < FAULTS_MILLIS) {
             delay(world.random.nextLong(2_000, 9_000))
             fault(world, backgroundScope)
@@ -145,13 +146,14 @@
         world.networkLoss = 0.0
         world.lateCopies = 0.0
         world.store.lostAnswers = 0.0
+        world.store.repeats = 0.0
     }
 
     private fun fault(world: SimWorld, scope: CoroutineScope) {
         val random = world.random
         val node = random.nextInt(3)
         val machine = world.workers.values.random(random)
-        when (random.nextInt(13)) {
+        when (random.nextInt(14)) {
             0, 1 -> scope.launch { restart(world, node, random.nextLong(100, 4_000)) }
             2 -> repeat(3) { at -> scope.launch { restart(world, at, random.nextLong(500, 4_000)) } }
             3 -> if (!world.store.outage) scope.launch {
@@ -194,6 +196,7 @@
                 delay(random.nextLong(5_000, 30_000))
                 world.cutFromWorkers -= node
             }
+            13 -> machine.reboot()
             12 -> repeat(3) { at -> scope.launch { restart(world, at, random.nextLong(30, 400)) } }
         }
     }
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -33,6 +33,9 @@
     val refused = HashSet<String>()
     var lostAnswers = 0.0
 
+    /** Share of transactions that were carried out and arrive a second time later. */
+    var repeats = 0.0
+
     fun startOutage() {
         outage = true
     }
@@ -114,6 +117,10 @@
                 throw StoreException("no answer", mayHaveRun = true)
             }
             val result = apply(conditions, writes)
+            if (random.nextDouble() < repeats) scope.launch {
+                delay(random.nextLong(60_000))
+                if (!outage) apply(conditions, writes)
+            }
             delay(random.nextLong(1, 8))
             return result
         }
--- a/src/test/kotlin/linemast/simulation/SimWorker.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -46,6 +46,19 @@
 
     fun listed(now: Long) = ListedMachine(name, "10.9.0.1:9", type.name, yard, loaners, "running", now - born)
 
+    private var boots = 0
+
+    /** The machine is back at once: its worker knows nothing of what was before. */
+    fun reboot() {
+        boots++
+        tasks.clear()
+        watch = 1
+        tick = 0
+        helm = 0
+        renewedMicros = world.clock.nowMicros()
+        reportSoon = true
+    }
+
     fun start() {
         world.scope.launch { live() }
         world.scope.launch { reports() }
@@ -122,6 +135,7 @@
     private suspend fun report() {
         val sent = world.clock.nowMicros()
         val session = watch
+        val boot = boots
         val body = Cbor.encode(reportBody())
         if (random.nextDouble() < world.networkLoss) {
             // Held back by the network: delivered late or never, and nobody waits for the answer.
@@ -149,7 +163,7 @@
         }
         if (hung || gone) return
         when (reply.status) {
-            200 -> if (watch == session) take(Cbor.decodeMap(reply.body), sent)
+            200 -> if (watch == session && boots == boot) take(Cbor.decodeMap(reply.body), sent)
             421 -> redirect(if (reply.body.isEmpty()) null else Cbor.decodeMap(reply.body).textOrNull("bridge"))
             else -> {
                 delay(1_000)
