--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -34,6 +34,7 @@
 
     fun step(wallMicros: Long, nowMicros: Long): CloudActions {
         if (fleet.standing == null || !cluster.settled) return NOTHING
+        demand.watch(nowMicros)
         val arrived = cluster.jobs.values.count { it.id !in known && !it.withdrawn && !it.finished }
         // New jobs are planned at once, but together: each plan takes stock of the whole fleet.
         val fresh = arrived > 0 && isDue(freshMicros, FRESH_MICROS, nowMicros)
@@ -81,7 +82,7 @@
         val wishes = planner.wishes(jobs, { it.owned }, nowMicros)
         val rentals = fleet.toRent(wishes, cluster.types.values, cluster.machines, ::allowance, cluster::isClosedTo, nowMicros)
         val wanted = wishes.filter { it.slots >= 1.0 }
-        val returns = fleet.toReturn(cluster.machines, planned(wanted.map { it.job }, jobs), demand.hasCeased(nowMicros), nowMicros)
+        val returns = fleet.toReturn(cluster.machines, planned(wanted.map { it.job }, jobs), demand.hasCeased(), nowMicros)
         for ((reason, names) in returns.entries.groupBy({ it.value }, { it.key })) log.info("returning {}: {}", names, reason)
         return CloudActions(rentals, returns)
     }
