--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -21,6 +21,7 @@
 
     /** The gang each team submitted last. */
     private val latestGangs = HashMap<String, JobSpec>()
+    private val reportMicros = settings.workers.reportMicros
     private val staleMicros = settings.workers.reportMicros * 5 / 2 + REPORT_SLACK_MICROS
 
     /** Whether no task of [spec] is ever put on such a machine, although it would fit. */
@@ -45,7 +46,7 @@
         }
         val ready = jobs.filter { it.job.pendingCount > 0 && isReady(it.job, nowMicros) }.map { it.job }
         if (ready.isEmpty()) return
-        val machines = UsableMachines(cluster.machines.values.filter { isUsable(it, nowMicros) }, scarce)
+        val machines = UsableMachines(cluster.machines.values.filter { isUsable(it, nowMicros) }, scarce) { turn(it, nowMicros) }
         val pass = Pass(nowMicros, jobs, machines, cluster)
         begin(ready, pass)
         // First what is booked on owned machines, then whatever is left over. Within a guarantee there is no such bound:
@@ -62,6 +63,9 @@
         }
     }
 
+    /** By quarters of the time between reports, so that within one the usual order holds. */
+    private fun turn(machine: Machine, nowMicros: Long): Int = -((nowMicros - machine.reportedMicros) * 4 / reportMicros).toInt()
+
     private fun isUsable(machine: Machine, nowMicros: Long): Boolean =
         !machine.draining && machine.onRecord && isFresh(machine, nowMicros) && machine.hears && machine.helm >= cluster.helm
 
--- a/src/main/kotlin/linemast/placement/UsableMachines.kt
+++ b/src/main/kotlin/linemast/placement/UsableMachines.kt
@@ -12,7 +12,12 @@
  * A pass asks for machines once for each waiting job. Looking through the whole fleet each time grew with the product
  * of both; here a job is led to the few machines that have room for it, in the order that looking through all gives.
  */
-internal class UsableMachines(machines: Collection<Machine>, private val scarce: ScarceTypes) {
+internal class UsableMachines(
+    machines: Collection<Machine>,
+    private val scarce: ScarceTypes,
+    /** How soon a machine's next report, and with it a start, can be expected: the smaller the sooner. */
+    private val turn: (Machine) -> Int = { 0 },
+) {
     /** Machines of the same type, kind and owner: all that their place in the order shares. */
     private class Pool(val type: MachineType, val loaners: Boolean, val owned: Boolean) {
         val machines = ArrayList<Entry>()
@@ -81,7 +86,8 @@
 
     /**
      * Machines with room for a task of [job] that may get it, the best first: those kept for it, then those that no
-     * other lane needs more. Within a guarantee those that have its image come next, since there is no time to fetch it.
+     * other lane needs more. Within a guarantee those that have its image come next, since there is no time to fetch it,
+     * and of them those that report soonest.
      *
      * What is placed while going through them shows in the next call.
      */
@@ -92,13 +98,17 @@
             val open = pools[scarce].orEmpty().map { pool -> pool.withRoom(job.spec.vcpus).filter { isOpen(it.machine, job) } }
             val (having, lacking) = open.map { entries -> entries.partition { job.spec.bundle in it.machine.bundles } }.unzip()
             if (job.guaranteed) {
-                for (entries in having + lacking) yieldAll(entries.asSequence().map { it.machine })
+                yieldAll(soonestFirst(having))
+                yieldAll(soonestFirst(lacking))
             } else {
                 for (at in having.indices) yieldAll((having[at].asSequence() + lacking[at].asSequence()).map { it.machine })
             }
         }
     }
 
+    private fun soonestFirst(entries: List<List<Entry>>): Sequence<Machine> =
+        sequence { yieldAll(entries.flatten().map { it.machine }.sortedBy(turn)) }
+
     private fun isOpen(machine: Machine, job: Job): Boolean =
         machine.reservedFor == null && machine.fits(job) && machine.allows(job.spec) && machine.name !in job.failedOn
 
--- a/src/test/kotlin/linemast/placement/UsableMachinesTest.kt
+++ b/src/test/kotlin/linemast/placement/UsableMachinesTest.kt
@@ -31,7 +31,7 @@
             val jobs = List(8) { job(it, random) }
             val scarce = ScarceTypes().apply { learn(jobs.map { it.spec }, types, 0L) }
             val machines = List(random.nextInt(1, 60)) { machine(it, jobs, random) }
-            val usable = UsableMachines(machines, scarce)
+            val usable = UsableMachines(machines, scarce, ::turn)
             for (job in jobs) {
                 val plain = plainly(job, machines, scarce)
                 assertEquals(plain.map { it.name }, usable.candidates(job).map { it.name }.toList(), "${job.spec.lane} ${job.spec.vcpus}")
@@ -47,6 +47,8 @@
         assertTrue(compared > 10_000, "only $compared machines were compared")
     }
 
+    private fun turn(machine: Machine) = machine.name.hashCode() and 3
+
     private fun plainly(job: Job, machines: List<Machine>, scarce: ScarceTypes): List<Machine> = machines
         .filter { (it.reservedFor == null || it.reservedFor === job) && it.allows(job.spec) && it.fits(job) && it.name !in job.failedOn }
         .sortedWith(
@@ -54,6 +56,7 @@
                 { it.reservedFor !== job },
                 { it.reservedFor !== job && scarce.of(it.type, it.loaners, job.spec).isScarce },
                 { it.reservedFor !== job && job.guaranteed && job.spec.bundle !in it.bundles },
+                { if (it.reservedFor !== job && job.guaranteed) turn(it) else 0 },
                 { it.reservedFor !== job && !it.owned },
                 { if (it.reservedFor === job || it.owned) 0.0 else it.pricePerVcpu },
                 { if (it.reservedFor === job) 0.0 else it.type.vcpus + it.type.gpus * 16 },
