--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -38,7 +38,12 @@
 
     private class Refusal(var untilMicros: Long, var times: Int)
 
+    /** Whether the cloud's list has been seen. */
+    var isListed = false
+        private set
+
     fun listed(list: List<ListedMachine>, types: Map<String, MachineType>, nowMicros: Long) {
+        isListed = true
         for (item in list) {
             val type = types[item.build] ?: continue
             val machine = machines.getOrPut(item.name) {
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -87,6 +87,8 @@
     /** Leases that some leader could have renewed are over after this long, on any clock. */
     private val leaseSpanMicros = settings.workers.leaseMicros.let { it + 2 * Authority.drift(it) + LEASE_MARGIN_MICROS }
 
+    /** Workers that can have found a new leader by then. */
+    private val takeOverMicros = settings.workers.reportMicros * 5 / 4 + TAKE_OVER_MICROS
     private val leastLeaseMicros = settings.workers.leaseMicros.let { it - 2 * Authority.drift(it) }
 
     /** Whether every task that an earlier leader started has been seen or is surely gone. */
@@ -475,6 +477,14 @@
         unseenChanged = false
     }
 
+    /** Machines still waited for after a take-over, in zones where most others have reported by now. */
+    fun absentAtTakeOver(nowMicros: Long): List<Machine> {
+        if (!unsettled || nowMicros < loadedMicros + takeOverMicros) return emptyList()
+        val recorded = machines.values.filter { it.inherited }.groupingBy { it.yard }.eachCount()
+        val absent = unseenOn.groupBy { it.yard }
+        return absent.filter { (yard, missing) -> missing.size * 4 <= (recorded[yard] ?: 0) }.values.flatten()
+    }
+
     /** Whether most workers that reported to this leader have fallen silent at once. */
     fun hasLostWorkers(nowMicros: Long): Boolean {
         var known = 0
@@ -534,6 +544,7 @@
         const val UNANSWERED_MICROS = 4_700_000L
         const val REPORT_SLACK_MICROS = 1_000_000L
         const val FEW_WORKERS = 3
+        const val TAKE_OVER_MICROS = 3_000_000L
         const val MOST_RETURNED = 5_000
         const val MAX_ORDERS = 300
         const val PROGRESS_MICROS = 5_000_000L
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -33,7 +33,8 @@
     var freshPlan = false
 
     fun step(wallMicros: Long, nowMicros: Long): CloudActions {
-        if (fleet.standing == null || !cluster.settled) return NOTHING
+        if (fleet.standing == null) return NOTHING
+        if (!cluster.settled) return CloudActions(emptyList(), absentAtTakeOver(nowMicros))
         demand.watch(nowMicros)
         val arrived = cluster.jobs.values.count { it.id !in known && !it.withdrawn && !it.finished }
         // New jobs are planned at once, but together: each plan takes stock of the whole fleet.
@@ -53,6 +54,22 @@
     private fun isDue(lastMicros: Long, periodMicros: Long, nowMicros: Long): Boolean =
         lastMicros == Long.MIN_VALUE || nowMicros - lastMicros >= periodMicros
 
+    /**
+     * Machines on record that do not report to a new leader while the others do are most likely gone, as spot ones that
+     * are taken without notice. A confirmed return says so for sure, which ends the wait for unseen tasks before a lease is
+     * over. Owned ones are too hard to get back; they are asked about only if the cloud does not list them.
+     */
+    private fun absentAtTakeOver(nowMicros: Long): Map<String, String> {
+        if (!fleet.isListed || !isDue(askedMicros, ASK_AGAIN_MICROS, nowMicros)) return emptyMap()
+        val absent = cluster.absentAtTakeOver(nowMicros).filter { !it.owned || it.name !in fleet.machines }
+        if (absent.isEmpty()) return emptyMap()
+        askedMicros = nowMicros
+        log.info("returning {}: absent at the take-over", absent.map { it.name })
+        return absent.associate { it.name to "absent at the take-over" }
+    }
+
+    private var askedMicros = Long.MIN_VALUE
+
     /** A rental was refused or filled in part: the next offer is asked for without waiting out the interval. */
     fun lookSoon() {
         lookedMicros = Long.MIN_VALUE
@@ -113,6 +130,7 @@
 
     private companion object {
         const val FRESH_MICROS = 1_000_000L
+        const val ASK_AGAIN_MICROS = 3_000_000L
         val NOTHING = CloudActions(emptyList(), emptyMap())
     }
 }
--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -167,6 +167,26 @@
         assertEquals(4, here.tasks.size)
     }
 
+    /** Spot machines are taken without notice all the time: each take-over waited for a lease because of them. */
+    @Test
+    fun `a machine that most others of its zone outlive is confirmed gone at a take-over, and ends the wait`() {
+        val opened = OpenRecord(ClusterFixture.spec("req-1", 4), 0, opened = true, withdrawn = false)
+        val names = List(5) { "host-00000$it" }
+        val fixture = ClusterFixture(recorded = names, open = listOf(opened))
+        val workers = names.take(4).map { HandWorker(fixture, it) }
+        workers.take(2).forEach { it.reportFor(2) }
+        fixture.pass(1_000_000)
+        assertEquals(emptyList<String>(), fixture.cluster.absentAtTakeOver(fixture.now).map { it.name }, "most may be cut off")
+        repeat(3) { workers.forEach { it.reportFor(1) } }
+        assertEquals(listOf("host-000004"), fixture.cluster.absentAtTakeOver(fixture.now).map { it.name })
+        assertFalse(fixture.cluster.settled)
+        fixture.cluster.returned(listOf("host-000004"))
+        workers.first().reportFor(2)
+        assertTrue(fixture.cluster.settled)
+        repeat(2) { workers.forEach { it.reportFor(1) } }
+        assertEquals(4, workers.sumOf { it.tasks.size })
+    }
+
     @Test
     fun `a job behind a large one of its team begins within four minutes`() {
         val fixture = ClusterFixture(teams = """{ name = "team", cpus = 4, cpus_max = 4, gpus = 0, gpus_max = 0 }""")
