Machines whose lease is over leave the record of those that may run tasks

Cause: after a crash of all controllers 115 s after 64 machines had died, the new leader still waited a whole lease for those: they stayed on record for as long as the cloud listed them. Ruled out: a slow cold start (0.4 s) and slow reading of the store (0.3 s).

--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -337,6 +337,8 @@
         cluster.dirty = true
     }
 
+    override fun dropMachines(names: List<String>) = fleetLedger.remove(names)
+
     private suspend fun every(periodMicros: Long, action: suspend () -> Unit) {
         while (true) {
             delay(periodMicros / 1_000)
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -406,23 +406,33 @@
 
     /** Regular work: ends leases, follows up on cancelled jobs, places what can be placed. */
     fun tick(nowMicros: Long) {
-        for (machine in machines.values) {
-            if (nowMicros >= machine.leaseEndMicros && machine.placements.isNotEmpty()) {
-                log.info("{}: silent for longer than a lease, {} tasks lost", machine.name, machine.placements.size)
-                machine.placements.values.toList().forEach(::remove)
-                machine.ended.clear()
-            }
-        }
+        endLeases(nowMicros)
         releaseReservations(nowMicros)
         // What was chosen for a machine that has fallen silent since is chosen anew.
         if (!dirty) dirty = chosen.any { !placer.isFresh(it.machine, nowMicros) }
         settle(nowMicros)
-        val unrecorded = machines.values.filter { !it.onRecord && it.reportedMicros > 0 }
+        val unrecorded = machines.values.filter { !it.onRecord && it.reportedMicros > 0 && nowMicros < it.leaseEndMicros }
         if (unrecorded.isNotEmpty()) effects.storeMachines(unrecorded)
         for (job in jobs.values.toList()) follow(job, nowMicros)
         passIfDue(nowMicros)
     }
 
+    /** What runs nothing any more is taken off the record, so that the next leader need not wait for it. */
+    private fun endLeases(nowMicros: Long) {
+        val over = ArrayList<String>()
+        for (machine in machines.values) {
+            if (nowMicros < machine.leaseEndMicros || (!machine.onRecord && machine.placements.isEmpty())) continue
+            if (machine.placements.isNotEmpty()) {
+                log.info("{}: silent for longer than a lease, {} tasks lost", machine.name, machine.placements.size)
+                machine.placements.values.toList().forEach(::remove)
+                machine.ended.clear()
+            }
+            if (machine.onRecord) over += machine.name
+            machine.onRecord = false
+        }
+        if (over.isNotEmpty()) effects.dropMachines(over)
+    }
+
     /** Those that are over, or whose job has no more need: nothing else would have the machines looked at again. */
     private fun releaseReservations(nowMicros: Long) {
         for (machine in machines.values) {
--- a/src/main/kotlin/linemast/placement/Effects.kt
+++ b/src/main/kotlin/linemast/placement/Effects.kt
@@ -14,6 +14,9 @@
     /** Store that these machines may run tasks. */
     fun storeMachines(machines: List<Machine>)
 
+    /** Store that these machines run nothing any more. */
+    fun dropMachines(names: List<String>)
+
     /** A cancelled job has no task left anywhere: drop its open record. */
     fun dropWithdrawn(job: Job)
 }
--- a/src/test/kotlin/linemast/placement/ClusterFixture.kt
+++ b/src/test/kotlin/linemast/placement/ClusterFixture.kt
@@ -19,6 +19,7 @@
 /** A leader's cluster state with workers played by hand; the store takes everything at once. */
 internal class ClusterFixture(val helm: Long = 5, teams: String = TEAM, recorded: List<String> = emptyList(), open: List<OpenRecord> = emptyList()) {
     var now = 1_000_000L
+    val droppedMachines = ArrayList<String>()
     private val settings = testSettings(teams)
     private val times = TaskTimes()
     private val effects = object : Effects {
@@ -33,6 +34,10 @@
 
         override fun storeMachines(machines: List<Machine>) = machines.forEach { it.onRecord = true }
 
+        override fun dropMachines(names: List<String>) {
+            droppedMachines += names
+        }
+
         override fun dropWithdrawn(job: Job) = Unit
     }
     val cluster: Cluster = Cluster(settings, helm, GRACE_MICROS, effects, times, Planner(settings, Policy(), times), { now }, { now })
--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -174,19 +174,42 @@
         val names = List(5) { "host-00000$it" }
         val fixture = ClusterFixture(recorded = names, open = listOf(opened))
         val workers = names.take(4).map { HandWorker(fixture, it) }
-        workers.take(2).forEach { it.reportFor(2) }
-        fixture.pass(1_000_000)
-        assertEquals(emptyList<String>(), fixture.cluster.absentAtTakeOver(fixture.now).map { it.name }, "most may be cut off")
-        repeat(3) { workers.forEach { it.reportFor(1) } }
+        fun report(seconds: Int, who: List<HandWorker>) = repeat(seconds) {
+            fixture.pass(1_000_000)
+            who.forEach { it.report() }
+        }
+        report(5, workers.take(2))
+        assertEquals(emptyList<String>(), fixture.cluster.absentAtTakeOver(fixture.now).map { it.name }, "a zone may be cut off")
+        report(2, workers)
         assertEquals(listOf("host-000004"), fixture.cluster.absentAtTakeOver(fixture.now).map { it.name })
         assertFalse(fixture.cluster.settled)
         fixture.cluster.returned(listOf("host-000004"))
-        workers.first().reportFor(2)
+        report(2, workers)
         assertTrue(fixture.cluster.settled)
-        repeat(2) { workers.forEach { it.reportFor(1) } }
         assertEquals(4, workers.sumOf { it.tasks.size })
     }
 
+    /** They stayed on record, and the next leader waited a lease for each of them. */
+    @Test
+    fun `a machine whose lease is over is taken off the record, and put there again before it gets a start`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        worker.reportFor(3)
+        val machine = fixture.cluster.machines.getValue(worker.name)
+        assertTrue(machine.onRecord)
+        fixture.pass(10_000_000)
+        assertTrue(machine.onRecord, "its lease may still run")
+        fixture.pass(2_000_000)
+        assertFalse(machine.onRecord)
+        assertEquals(listOf(worker.name), fixture.droppedMachines)
+        fixture.submit("req-1", 4)
+        worker.watch++
+        worker.reportFor(2)
+        assertTrue(machine.onRecord)
+        worker.reportFor(2)
+        assertEquals(4, worker.tasks.size)
+    }
+
     @Test
     fun `a job behind a large one of its team begins within four minutes`() {
         val fixture = ClusterFixture(teams = """{ name = "team", cpus = 4, cpus_max = 4, gpus = 0, gpus_max = 0 }""")
--- a/src/test/kotlin/linemast/size/FleetPlay.kt
+++ b/src/test/kotlin/linemast/size/FleetPlay.kt
@@ -74,6 +74,8 @@
 
         override fun storeMachines(machines: List<Machine>) = machines.forEach { it.onRecord = true }
 
+        override fun dropMachines(names: List<String>) = Unit
+
         override fun dropWithdrawn(job: Job) = Unit
     }
     val cluster: Cluster = Cluster(settings, HELM, 10_000_000L, effects, times, planner, { now }, { now })
