--- a/src/main/kotlin/linemast/app/Controller.kt
+++ b/src/main/kotlin/linemast/app/Controller.kt
@@ -39,6 +39,7 @@
         if (log.isDebugEnabled) {
             val meters = Meters(clock)
             handler = meters.around(handler)
+            loop.onTurn = meters::turn
             launch { meters.run() }
         }
         val server = HttpServer(loop, settings.serveOn, settings.processLimits.fdLimit - RESERVED_SOCKETS, handler)
--- a/src/main/kotlin/linemast/app/Meters.kt
+++ b/src/main/kotlin/linemast/app/Meters.kt
@@ -10,7 +10,7 @@
 import org.slf4j.LoggerFactory
 import java.lang.management.ManagementFactory
 
-/** Latency of requests and use of the processor, summed up in the log at `debug`; not built at other levels. */
+/** Latency of requests, turns of the event loop and use of the processor, summed up in the log at `debug`; not built at other levels. */
 class Meters(private val clock: Clock) {
     private val log = LoggerFactory.getLogger(Meters::class.java)
     private val latencies = sortedMapOf<String, Histogram>()
@@ -23,6 +23,9 @@
         handler(request).also { record(kind(request), clock.nowMicros() - start) }
     }
 
+    /** A turn of the event loop took [micros]. */
+    fun turn(micros: Long) = record("turn", micros)
+
     private fun record(kind: String, micros: Long) {
         latencies.getOrPut(kind) { Histogram(MOST_MICROS, 2) }.recordValue(micros.coerceIn(0, MOST_MICROS))
     }
@@ -40,7 +43,7 @@
             delay(PERIOD_MILLIS)
             for ((kind, histogram) in latencies) {
                 log.debug(
-                    "{}: {} requests, p50/p90/p99/max {}/{}/{}/{} us", kind, histogram.totalCount,
+                    "{}: {} times, p50/p90/p99/max {}/{}/{}/{} us", kind, histogram.totalCount,
                     histogram.getValueAtPercentile(50.0), histogram.getValueAtPercentile(90.0),
                     histogram.getValueAtPercentile(99.0), histogram.maxValue,
                 )
--- a/src/main/kotlin/linemast/wire/EventLoop.kt
+++ b/src/main/kotlin/linemast/wire/EventLoop.kt
@@ -55,18 +55,28 @@
         }
     }
 
+    /** Told how long each turn of the loop took, in microseconds: for so long nothing else could be answered. */
+    var onTurn: ((Long) -> Unit)? = null
+
     /** Runs [main] and all that it starts on the calling thread, until it ends. */
     fun <T> run(main: suspend CoroutineScope.() -> T): T {
         thread = Thread.currentThread()
         val result = CoroutineScope(this).async(block = main)
         while (true) {
-            runReady()
+            runTurn()
             if (result.isCompleted) return result.getCompleted()
             awaitSockets()
             fireTimers()
         }
     }
 
+    private fun runTurn() {
+        val told = onTurn ?: return runReady()
+        val start = System.nanoTime()
+        runReady()
+        told((System.nanoTime() - start) / 1_000)
+    }
+
     private fun runReady() {
         var left = ROUTINES_BEFORE_SOCKETS
         while (left-- > 0) (ready.removeFirstOrNull() ?: fromElsewhere.poll() ?: return).run()
--- a/src/main/kotlin/linemast/wire/Listener.kt
+++ b/src/main/kotlin/linemast/wire/Listener.kt
@@ -12,7 +12,8 @@
     suspend fun serve(scope: CoroutineScope, onListening: () -> Unit = {}, onConnection: suspend (Connection) -> Unit) {
         val listener = aSocket(loop).tcp().bind(address.host, address.port) {
             reuseAddress = true
-            backlogSize = BACKLOG
+            // All workers may come at once, when a controller is back.
+            backlogSize = maxConnections
         }
         onListening()
         listener.use {
@@ -33,10 +34,6 @@
             }
         }
     }
-
-    private companion object {
-        const val BACKLOG = 256
-    }
 }
 
 /** Opens a connection to [address]. */
--- a/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -94,6 +94,43 @@
         assertEquals(emptyList<String>(), world.broken)
     }
 
+    /** Many machines at once: they die, hang for longer and shorter than a lease, and are back at once, while controllers end. */
+    @Test
+    fun `rules hold on a fleet of hundreds of machines`() {
+        val seed = 31
+        val world = world(seed, LEASE_SECONDS, size = 50) { world ->
+            world.lateCopies = 0.05
+            world.store.repeats = 0.05
+            repeat(16) { number ->
+                val gang = number % 2 == 0
+                val crew = if (number % 4 < 2) "north" else "south"
+                val pieces = if (gang) 2 + number % 3 else 200 + 40 * number
+                val job = SimJob("req-80%04d".format(number), crew, pieces, if (gang) 4.0 else 1.0, gang, gang, false, !gang, 12_000_000)
+                world.user(job, if (number == 7) 20_000 else null)
+                delay(1_000)
+            }
+            delay(5_000)
+            repeat(3) { at -> backgroundScope.launch { restart(world, at, 100L + 900 * at) } }
+            delay(10_000)
+            world.workers.keys.shuffled(world.random).take(40).forEach(world::removeMachine)
+            world.workers.values.shuffled(world.random).take(40).forEachIndexed { at, machine ->
+                machine.hungUntilMicros = world.clock.nowMicros() + if (at % 2 == 0) 4_000_000 else 14_000_000
+            }
+            delay(10_000)
+            world.workers.values.shuffled(world.random).take(20).forEach { it.reboot() }
+            world.store.startOutage()
+            delay(3_000)
+            restart(world, leaderOf(world).coerceAtLeast(0), 200)
+            delay(7_000)
+            world.store.endOutage()
+            delay(120_000)
+        }
+        println("seed $seed: ${world.starts} starts, ${world.completed.size} tasks done, ${world.workers.size} machines at the end")
+        assertEquals(emptyList<String>(), world.broken)
+        assertEquals(emptyList<String>(), world.jobs.values.filter { it.told == null }.map { it.id })
+        assertEquals(16, world.jobs.values.count { it.accepted })
+    }
+
     private fun leaderOf(world: SimWorld): Int = world.store.valueOf("leader")?.text("node")?.removePrefix("mast-")?.toInt() ?: -1
 
     private fun play(seed: Int, controllersLeaseSeconds: Double): SimWorld = world(seed, controllersLeaseSeconds) { world ->
@@ -102,12 +139,14 @@
         delay(CALM_MILLIS)
     }
 
-    private fun world(seed: Int, controllersLeaseSeconds: Double, script: suspend TestScope.(SimWorld) -> Unit): SimWorld {
+    /** [size] is how many times the usual fleet, and the usual limits of teams, there are. */
+    private fun world(seed: Int, controllersLeaseSeconds: Double, size: Int = 1, script: suspend TestScope.(SimWorld) -> Unit): SimWorld {
         lateinit var world: SimWorld
         runTest(timeout = 5.minutes) {
             val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
             world = SimWorld(
-                backgroundScope, clock, seed, { settings(it, controllersLeaseSeconds) }, TYPES, (LEASE_SECONDS * 1e6).toLong(),
+                backgroundScope, clock, seed, { settings(it, controllersLeaseSeconds, size) }, TYPES, (LEASE_SECONDS * 1e6).toLong(),
+                standing = 6 * size, mostMachines = 12 * size,
             )
             world.begin()
             script(world)
@@ -211,7 +250,7 @@
     private fun members(name: String) = (0..2).map { "mast-$it" }.filter { it != name }
         .joinToString { """{ node_name = "$it", domain = "a", peer_addr = "10.0.0.1:9" }""" }
 
-    private fun settings(name: String, leaseSeconds: Double): Settings = SettingsReader.parse(
+    private fun settings(name: String, leaseSeconds: Double, size: Int): Settings = SettingsReader.parse(
         """
         node_name = "$name"
         domain = "a"
@@ -225,8 +264,8 @@
         zones = ["a", "b"]
         clock_off_ms = 0.0
         teams = [
-          { name = "north", cpus = 16.0, cpus_max = 24.0, gpus = 0.0, gpus_max = 0.0 },
-          { name = "south", cpus = 8.0, cpus_max = 16.0, gpus = 0.0, gpus_max = 0.0 },
+          { name = "north", cpus = ${16 * size}.0, cpus_max = ${24 * size}.0, gpus = 0.0, gpus_max = 0.0 },
+          { name = "south", cpus = ${8 * size}.0, cpus_max = ${16 * size}.0, gpus = 0.0, gpus_max = 0.0 },
         ]
         [settings.workers]
         report_s = 1.0
--- a/src/test/kotlin/linemast/simulation/SimCloud.kt
+++ b/src/test/kotlin/linemast/simulation/SimCloud.kt
@@ -31,7 +31,7 @@
     override suspend fun rent(request: RentRequest): RentResult {
         delay(LATENCY_MILLIS)
         charters[request.charter]?.let { return RentResult.Rented(it) }
-        val room = MOST_MACHINES - world.workers.size
+        val room = world.mostMachines - world.workers.size
         if (room <= 0) return RentResult.NoCapacity
         val type = types.first { it.name == request.build }
         val names = List(minOf(room, request.number)) { world.addMachine(type, request.yard, request.loaners).name }
@@ -49,7 +49,6 @@
     private companion object {
         const val LATENCY_MILLIS = 100L
         const val LAG_MICROS = 5_000_000L
-        const val MOST_MACHINES = 12
         const val LOST_ANSWERS = 0.05
     }
 }
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -53,6 +53,9 @@
     private val settings: (String) -> Settings,
     private val types: List<MachineType>,
     private val workerLeaseMicros: Long,
+    /** Standing machines, and how many there can be in all. */
+    private val standing: Int = 6,
+    val mostMachines: Int = 12,
 ) {
     val random = Random(seed)
     val workers = LinkedHashMap<String, SimWorker>()
@@ -81,7 +84,7 @@
     private val cancelMicros = settings("mast-0").workers.cancelMicros
 
     fun begin() {
-        repeat(6) { addMachine(types[it % types.size], if (it % 2 == 0) "a" else "b", loaners = false) }
+        repeat(standing) { addMachine(types[it % types.size], if (it % 2 == 0) "a" else "b", loaners = false) }
         repeat(3) { startNode(it) }
         scope.launch {
             while (true) {
