--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -162,7 +162,7 @@
     private fun supply(types: Collection<MachineType>, workers: Map<String, Machine>, nowMicros: Long): MutableList<Supply> {
         val supply = LinkedHashMap<MachineSort, Supply>()
         for (machine in machines.values) {
-            if (isOwned(machine.name) || machine.returning || machine.status == "failed") continue
+            if (isOwned(machine.name) || machine.returning || machine.status == FAILED) continue
             val worker = workers[machine.name]
             val overdue = worker == null && nowMicros - machine.rentedMicros > OVERDUE_BOOTS * machine.type.startupMicros
             if (overdue || worker?.draining == true || (worker != null && worker.deafSinceMicros > 0)) continue
@@ -192,6 +192,9 @@
             .map { it.first }
     }
 
+    /** Whether the cloud's list shows that a machine is no more; a new one may not be listed yet. */
+    fun isGone(name: String): Boolean = machines[name].let { it == null || it.status == FAILED }
+
     fun isOwned(name: String): Boolean = standing?.contains(name) ?: true
 
     /** Machines to be given back now, with the reason. */
@@ -215,7 +218,7 @@
         heardYards: Set<String>,
         nowMicros: Long,
     ): String? {
-        if (machine.status == "failed") return "has stopped by itself"
+        if (machine.status == FAILED) return "has stopped by itself"
         if (worker == null || worker.reportedMicros == 0L) {
             val age = nowMicros - machine.rentedMicros
             val limit = NEVER_BOOTS * machine.type.startupMicros + NEVER_MICROS
@@ -242,6 +245,7 @@
     }
 
     private companion object {
+        const val FAILED = "failed"
         const val ABSENCE_LAGS = 4
         const val ABSENCE_MICROS = 20_000_000L
         const val REFUSED_MICROS = 8_000_000L
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -487,12 +487,15 @@
         unseenChanged = false
     }
 
-    /** Machines still waited for after a take-over, in zones where most others have reported by now. */
-    fun absentAtTakeOver(nowMicros: Long): List<Machine> {
-        if (!unsettled || nowMicros < loadedMicros + takeOverMicros) return emptyList()
-        val recorded = machines.values.filter { it.inherited }.groupingBy { it.yard }.eachCount()
-        val absent = unseenOn.groupBy { it.yard }
-        return absent.filter { (yard, missing) -> missing.size * 4 <= (recorded[yard] ?: 0) }.values.flatten()
+    /** Machines still waited for after a take-over, when workers can have found the new leader. */
+    fun absentAtTakeOver(nowMicros: Long): List<Machine> =
+        if (unsettled && nowMicros >= loadedMicros + takeOverMicros) unseenOn.toList() else emptyList()
+
+    /** Zones in which most machines on record have reported to this leader: what is silent there is not cut off with all others. */
+    fun yardsMostlyHeard(): Set<String> {
+        val absent = unseenOn.groupingBy { it.yard }.eachCount()
+        return machines.values.filter { it.inherited }.groupingBy { it.yard }.eachCount()
+            .filter { (yard, recorded) -> (absent[yard] ?: 0) * 4 <= recorded }.keys
     }
 
     /** Whether most workers that reported to this leader have fallen silent at once. */
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -57,11 +57,13 @@
     /**
      * Machines on record that do not report to a new leader while the others do are most likely gone, as spot ones that
      * are taken without notice. A confirmed return says so for sure, which ends the wait for unseen tasks before a lease is
-     * over. Owned ones are too hard to get back; they are asked about only if the cloud does not list them.
+     * over. Owned ones are too hard to get back, and a zone may be cut off as a whole: then only those are asked about
+     * that the cloud does not list, or lists as failed.
      */
     private fun absentAtTakeOver(nowMicros: Long): Map<String, String> {
         if (!fleet.isListed || !isDue(askedMicros, ASK_AGAIN_MICROS, nowMicros)) return emptyMap()
-        val absent = cluster.absentAtTakeOver(nowMicros).filter { !it.owned || it.name !in fleet.machines }
+        val heard = cluster.yardsMostlyHeard()
+        val absent = cluster.absentAtTakeOver(nowMicros).filter { fleet.isGone(it.name) || (!it.owned && it.yard in heard) }
         if (absent.isEmpty()) return emptyMap()
         askedMicros = nowMicros
         log.info("returning {}: absent at the take-over", absent.map { it.name })
--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -179,8 +179,9 @@
             who.forEach { it.report() }
         }
         report(5, workers.take(2))
-        assertEquals(emptyList<String>(), fixture.cluster.absentAtTakeOver(fixture.now).map { it.name }, "a zone may be cut off")
+        assertEquals(emptySet<String>(), fixture.cluster.yardsMostlyHeard(), "a zone may be cut off")
         report(2, workers)
+        assertEquals(setOf("z"), fixture.cluster.yardsMostlyHeard())
         assertEquals(listOf("host-000004"), fixture.cluster.absentAtTakeOver(fixture.now).map { it.name })
         assertFalse(fixture.cluster.settled)
         fixture.cluster.returned(listOf("host-000004"))
