--- a/src/main/kotlin/linemast/placement/RoomMaker.kt
+++ b/src/main/kotlin/linemast/placement/RoomMaker.kt
@@ -20,7 +20,7 @@
     private val windDownMicros = settings.workers.gangPeerMicros
 
     /** From the decision to stop a task until another runs in its place: two reports and an image. */
-    private val reactionMicros = minOf(settings.workers.reportMicros * 2 + IMAGE_MICROS, guaranteeMicros / 2)
+    private val reactionMicros = settings.workers.reportMicros * 2 + IMAGE_MICROS
 
     /** The gang that machines were gathered for last. */
     var gathering: Job? = null
