--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -78,9 +78,8 @@
         val wall = cluster.wallMicros()
         for (job in ready) {
             val begun = job.doneCount > 0 || job.placements.any { !it.isAssigned }
-            // A gang of one task needs nothing gathered, and going first it would only take another one's turn.
-            val longWait = if (!job.spec.isGang) BEGIN_MICROS else if (job.spec.pieces > 1) GANG_BEGIN_MICROS else Long.MAX_VALUE
-            job.waitsLong = !begun && wall - job.acceptedWallMicros > longWait
+            val age = wall - job.acceptedWallMicros
+            job.waitsLong = !begun && if (job.spec.isGang) isTurnOfGang(job, age) else age > BEGIN_MICROS
         }
         var gathers = true
         // The gang that machines are being gathered for stays the one until it has them.
@@ -95,6 +94,16 @@
         }
     }
 
+    /**
+     * When more gangs come than there is room for, the longest waiting first would make all of them late. So those that
+     * have waited too long already let the others begin in time, and have their turn again before they starve.
+     */
+    private fun isTurnOfGang(job: Job, age: Long): Boolean {
+        // A gang of one task needs nothing gathered, and going first it would only take another one's turn.
+        if (job.spec.pieces == 1) return false
+        return age in GANG_BEGIN_MICROS..GANG_LATE_MICROS || age > GANG_STARVED_MICROS
+    }
+
     private fun isReady(job: Job, nowMicros: Long): Boolean {
         if (job.opened == Job.Opened.NO) cluster.open(job)
         if (nowMicros < job.backOffUntilMicros) cluster.dirty = true
@@ -210,6 +219,8 @@
 
         /** Later: machines gathered for it stand idle until the last is free, which costs others their turn. */
         private const val GANG_BEGIN_MICROS = 150_000_000L
+        private const val GANG_LATE_MICROS = 240_000_000L
+        private const val GANG_STARVED_MICROS = 600_000_000L
 
         /** No more of a team's limit than this share is kept for a gang that has not come yet. */
         private const val MOST_KEPT = 0.25
