--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -249,5 +249,35 @@
         assertTrue(gangs.all { it.doneCount == 2 }, "gangs done after $seconds s: ${gangs.map { it.doneCount }}")
     }
 
+    /** With more gangs than room, the longest waiting first once made every one of them late. */
+    @Test
+    fun `a gang that can begin in time goes before one that is late, and the late one before it starves`() {
+        val fixture = ClusterFixture()
+        val workers = List(2) { HandWorker(fixture, "host-00000$it") }
+        fun report(seconds: Int) = repeat(seconds) {
+            fixture.pass(1_000_000)
+            workers.forEach { it.report() }
+        }
+        fun end() = workers.forEach { worker -> worker.tasks.keys.forEach { worker.tasks[it] = PieceStatus.ENDED } }
+        fun running() = workers.flatMap { worker -> worker.tasks.keys.map { it.first.job } }.toSet()
+        report(3)
+        fixture.submit("req-1", 2, gang = true, vcpus = 8.0)
+        report(5)
+        fixture.submit("req-2", 2, gang = true, vcpus = 8.0)
+        report(140)
+        fixture.submit("req-3", 2, gang = true, vcpus = 8.0)
+        report(160)
+        assertEquals(setOf("req-1"), running())
+        end()
+        report(5)
+        assertEquals(setOf("req-3"), running(), "300 s and 160 s old")
+        report(300)
+        fixture.submit("req-4", 2, gang = true, vcpus = 8.0)
+        report(20)
+        end()
+        report(5)
+        assertEquals(setOf("req-2"), running(), "over 600 s old")
+    }
+
     private fun bothHold(workers: List<HandWorker>, job: String) = workers.all { worker -> worker.tasks.keys.any { it.first.job == job } }
 }
