--- a/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -118,6 +118,8 @@
             }
             delay(10_000)
             world.workers.values.shuffled(world.random).take(20).forEach { it.reboot() }
+            world.freeze(leaderOf(world).coerceAtLeast(0), 6_000_000)
+            delay(12_000)
             world.store.startOutage()
             delay(3_000)
             restart(world, leaderOf(world).coerceAtLeast(0), 200)
@@ -192,7 +194,7 @@
         val random = world.random
         val node = random.nextInt(3)
         val machine = world.workers.values.random(random)
-        when (random.nextInt(14)) {
+        when (random.nextInt(15)) {
             0, 1 -> scope.launch { restart(world, node, random.nextLong(100, 4_000)) }
             2 -> repeat(3) { at -> scope.launch { restart(world, at, random.nextLong(500, 4_000)) } }
             3 -> if (!world.store.outage) scope.launch {
@@ -236,6 +238,7 @@
                 world.cutFromWorkers -= node
             }
             13 -> machine.reboot()
+            14 -> world.freeze(node, random.nextLong(1_000_000, 25_000_000))
             12 -> repeat(3) { at -> scope.launch { restart(world, at, random.nextLong(30, 400)) } }
         }
     }
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -18,7 +18,13 @@
 import kotlin.random.Random
 
 /** Stand-in of the state service, with its holds, revisions and ways to fail. */
-class SimStore(private val scope: CoroutineScope, private val clock: Clock, private val random: Random) {
+class SimStore(
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val random: Random,
+    /** Waits while a controller stands still. */
+    private val awaitThaw: suspend (String) -> Unit = {},
+) {
     private class Entry(val value: ByteArray, val stamp: Long, val hold: Long?)
 
     private class Hold(val lifeMicros: Long, var endsMicros: Long)
@@ -87,6 +93,7 @@
 
     private inner class Client(private val node: String) : Store {
         private suspend fun enter() {
+            awaitThaw(node)
             delay(random.nextLong(1, 12))
             if (outage || node in refused) throw StoreException("503", mayHaveRun = false)
             expire()
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -62,7 +62,7 @@
     val jobs = LinkedHashMap<String, SimJob>()
     val completed = HashSet<String>()
     val broken = ArrayList<String>()
-    val store = SimStore(scope, clock, random)
+    val store = SimStore(scope, clock, random) { node -> awaitThaw(node.removePrefix("mast-").toInt()) }
     val cutOff = HashSet<Int>()
     var networkLoss = 0.0
 
@@ -72,6 +72,17 @@
     /** Controllers that hear no other and are heard by none. */
     val alone = HashSet<Int>()
 
+    /** Until when controllers stand still while their clocks run on: nothing comes in, and nothing that is ready leaves. */
+    private val frozenUntilMicros = LongArray(3)
+
+    fun freeze(at: Int, micros: Long) {
+        frozenUntilMicros[at] = clock.nowMicros() + micros
+    }
+
+    private suspend fun awaitThaw(at: Int) {
+        while (clock.nowMicros() < frozenUntilMicros[at]) delay((frozenUntilMicros[at] - clock.nowMicros()) / 1_000 + 1)
+    }
+
     /** Controllers that workers do not get through to. */
     val cutFromWorkers = HashSet<Int>()
     var starts = 0
@@ -99,12 +110,14 @@
     private suspend fun frames(from: Int) {
         while (true) {
             delay(1_000)
+            awaitThaw(from)
             val frame = nodes[from]?.frame() ?: continue
             for (to in 0..2) {
                 if (to == from || from in alone || to in alone || random.nextDouble() < networkLoss) continue
                 val late = if (random.nextInt(20) == 0) random.nextLong(20_000) else random.nextLong(1, 50)
                 scope.launch {
                     delay(late)
+                    awaitThaw(to)
                     nodes[to]?.heard(frame)
                 }
             }
@@ -146,8 +159,10 @@
             delay(4_000)
             return null
         }
+        awaitThaw(at)
         val node = nodes[at] ?: return null
         val response = node.route(HttpRequest(method, path, "", body))
+        awaitThaw(at)
         if (nodes[at] !== node) return null
         return if (response.stillValid()) response else HttpResponse.unavailable()
     }
