--- /dev/null
+++ b/src/test/kotlin/linemast/TestSpecs.kt
@@ -0,0 +1,15 @@
+package linemast
+
+import linemast.jobs.JobSpec
+import linemast.wire.Fields
+
+/** A job as a user would submit it, a small sweep that may go anywhere, with [fields] in place of the usual ones. */
+internal fun testSpec(id: String, vararg fields: Pair<String, Any?>): JobSpec = JobSpec.read(
+    Fields(
+        mapOf(
+            "name_id" to id, "lane" to "lane", "crew" to "team", "shape" to "sweep", "urgency" to "normal", "pieces" to 1, "vcpus" to 1.0,
+            "gpus" to 0.0, "memory_gb" to 1.0, "bundle" to "img", "pull_gb" to 1.0, "same_place" to false, "apart" to false,
+            "loaners" to true, "guess_s" to 30.0, "mark_every_s" to 0.0, "mark_s" to 0.0, "due_s" to 600.0,
+        ) + fields,
+    ),
+)
--- a/src/test/kotlin/linemast/placement/ClusterFixture.kt
+++ b/src/test/kotlin/linemast/placement/ClusterFixture.kt
@@ -1,13 +1,12 @@
 package linemast.placement
 
 import linemast.cloud.MachineType
-import linemast.jobs.JobSpec
 import linemast.jobs.OpenRecord
 import linemast.planning.Planner
 import linemast.planning.Policy
 import linemast.planning.TaskTimes
 import linemast.testSettings
-import linemast.wire.Fields
+import linemast.testSpec
 import linemast.workers.Job
 import linemast.workers.Machine
 import linemast.workers.Order
@@ -68,15 +67,9 @@
         const val TEAM = """{ name = "team", cpus = 8, cpus_max = 64, gpus = 0, gpus_max = 0 }"""
         val TYPE = MachineType("t", 8.0, 0.0, 64.0, 10.0, 1.0, 1.0, 0.3, 30_000_000, listOf("z"))
 
-        fun spec(id: String, pieces: Int, gang: Boolean = false, vcpus: Double = 1.0, crew: String = "team") = JobSpec.read(
-            Fields(
-                mapOf(
-                    "name_id" to id, "lane" to if (gang) "gangs" else "sweeps", "crew" to crew, "shape" to if (gang) "gang" else "sweep",
-                    "urgency" to "normal", "pieces" to pieces, "vcpus" to vcpus, "gpus" to 0.0, "memory_gb" to 1.0, "bundle" to "img",
-                    "pull_gb" to 1.0, "same_place" to false, "apart" to false, "loaners" to false, "guess_s" to 30.0,
-                    "mark_every_s" to 0.0, "mark_s" to 0.0, "due_s" to 600.0,
-                ),
-            ),
+        fun spec(id: String, pieces: Int, gang: Boolean = false, vcpus: Double = 1.0, crew: String = "team") = testSpec(
+            id, "lane" to if (gang) "gangs" else "sweeps", "crew" to crew, "shape" to if (gang) "gang" else "sweep",
+            "pieces" to pieces, "vcpus" to vcpus, "loaners" to false,
         )
     }
 }
--- a/src/test/kotlin/linemast/placement/UsableMachinesTest.kt
+++ b/src/test/kotlin/linemast/placement/UsableMachinesTest.kt
@@ -3,7 +3,7 @@
 import linemast.cloud.MachineType
 import linemast.jobs.JobSpec
 import linemast.jobs.OpenRecord
-import linemast.wire.Fields
+import linemast.testSpec
 import linemast.workers.Job
 import linemast.workers.Machine
 import linemast.workers.PieceId
@@ -86,17 +86,11 @@
 
     private fun job(number: Int, random: Random): Job {
         val gpus = if (random.nextInt(4) == 0) 1.0 else 0.0
-        val spec = JobSpec.read(
-            Fields(
-                mapOf(
-                    "name_id" to "req-$number", "lane" to "lane-${number % 4}", "crew" to "team", "shape" to "sweep",
-                    "urgency" to listOf("critical", "high", "normal", "idle")[number % 4], "pieces" to 20,
-                    "vcpus" to listOf(0.5, 1.0, 1.3, 4.0, 12.0)[number % 4 + if (gpus > 0) 1 else 0], "gpus" to gpus, "memory_gb" to 1.0,
-                    "bundle" to "img-${random.nextInt(3)}", "pull_gb" to 1.0, "yard" to listOf(null, "a", "b")[random.nextInt(3)],
-                    "same_place" to false, "apart" to false, "loaners" to random.nextBoolean(), "guess_s" to 10.0, "mark_every_s" to 0.0,
-                    "mark_s" to 0.0, "due_s" to 100.0,
-                ),
-            ),
+        val spec = testSpec(
+            "req-$number", "lane" to "lane-${number % 4}", "urgency" to listOf("critical", "high", "normal", "idle")[number % 4],
+            "pieces" to 20, "vcpus" to listOf(0.5, 1.0, 1.3, 4.0, 12.0)[number % 4 + if (gpus > 0) 1 else 0], "gpus" to gpus,
+            "bundle" to "img-${random.nextInt(3)}", "yard" to listOf(null, "a", "b")[random.nextInt(3)],
+            "loaners" to random.nextBoolean(), "guess_s" to 10.0, "due_s" to 100.0,
         )
         return Job(OpenRecord(spec, 0L, opened = true, withdrawn = false), 1L, inherited = false).also { it.guaranteed = random.nextBoolean() }
     }
--- a/src/test/kotlin/linemast/planning/PlannerTest.kt
+++ b/src/test/kotlin/linemast/planning/PlannerTest.kt
@@ -1,10 +1,9 @@
 package linemast.planning
 
 import linemast.cloud.MachineType
-import linemast.jobs.JobSpec
 import linemast.jobs.OpenRecord
 import linemast.testSettings
-import linemast.wire.Fields
+import linemast.testSpec
 import linemast.workers.Job
 import linemast.workers.Machine
 import linemast.workers.PieceId
@@ -97,15 +96,7 @@
     private fun planner() = Planner(settings, Policy(), TaskTimes())
 
     private fun job(id: String, pieces: Int, guessS: Int, dueS: Int): Job {
-        val spec = JobSpec.read(
-            Fields(
-                mapOf(
-                    "name_id" to id, "lane" to "lane", "crew" to "team", "shape" to "sweep", "urgency" to "normal", "pieces" to pieces,
-                    "vcpus" to 1.0, "gpus" to 0.0, "memory_gb" to 1.0, "bundle" to "img", "pull_gb" to 1.0, "same_place" to false,
-                    "apart" to false, "loaners" to true, "guess_s" to guessS, "mark_every_s" to 0, "mark_s" to 0, "due_s" to dueS,
-                ),
-            ),
-        )
+        val spec = testSpec(id, "pieces" to pieces, "guess_s" to guessS, "due_s" to dueS)
         return Job(OpenRecord(spec, 0L, opened = true, withdrawn = false), 1L, inherited = false)
     }
 
--- a/src/test/kotlin/linemast/size/FleetPlay.kt
+++ b/src/test/kotlin/linemast/size/FleetPlay.kt
@@ -12,7 +12,7 @@
 import linemast.planning.Steward
 import linemast.planning.TaskTimes
 import linemast.settings.Settings
-import linemast.wire.Fields
+import linemast.testSpec
 import linemast.workers.Job
 import linemast.workers.Machine
 import linemast.workers.Order
@@ -272,15 +272,10 @@
         fun spec(
             id: String, lane: String, crew: String, gang: Boolean, pieces: Int, vcpus: Double, memoryGb: Double, bundle: String,
             guessS: Double, dueS: Double?,
-        ) = JobSpec.read(
-            Fields(
-                mapOf(
-                    "name_id" to id, "lane" to lane, "crew" to crew, "shape" to if (gang) "gang" else "sweep",
-                    "urgency" to if (gang) "normal" else "idle", "pieces" to pieces, "vcpus" to vcpus, "gpus" to 0.0,
-                    "memory_gb" to memoryGb, "bundle" to bundle, "pull_gb" to 1.0, "same_place" to gang, "apart" to false,
-                    "loaners" to !gang, "guess_s" to guessS, "mark_every_s" to 0.0, "mark_s" to 0.0, "due_s" to dueS,
-                ),
-            ),
+        ) = testSpec(
+            id, "lane" to lane, "crew" to crew, "shape" to if (gang) "gang" else "sweep", "urgency" to if (gang) "normal" else "idle",
+            "pieces" to pieces, "vcpus" to vcpus, "memory_gb" to memoryGb, "bundle" to bundle, "same_place" to gang, "loaners" to !gang,
+            "guess_s" to guessS, "due_s" to dueS,
         )
     }
 }
