Answers that renew leases are bound by what the leader knows of cancellations

Cause: grace counted from the last renewal of the lead. A leader whose watch hung or lagged while its renewals worked went on renewing leases for jobs whose cancellation it could not know; an outage after that kept the tasks beyond cancel_s. In its grace it did not halt even what it knew to be cancelled.

CancellationKnowledge owns the bound now: the send time of the last complete read, plus what cancel_s leaves beside a lease and margins. It is checked when an answer is made and again, with what was known then, as it is written. Starts need knowledge of the last 4 s. A worker that reports a cancelled task again and again is no longer renewed in time for its lease to end.

Refuted by reading: a leader still loading answers no report (events wait until the store has been read), so the empty list "while not loaded" was never given; the branch is gone.

--- a/src/main/kotlin/linemast/app/Node.kt
+++ b/src/main/kotlin/linemast/app/Node.kt
@@ -126,14 +126,9 @@
         val report = Report.read(Cbor.decodeMap(request.body))
         beatMicros = clock.nowMicros()
         view.heardOf(report.helm)
-        val authority = view.own
-        val orders = if (authority == null) null else duty?.answer(report)
-        if (authority == null || orders == null) return elsewhere()
-        val body = mapOf("helm" to authority.helm, "orders" to orders.map { it.toMap() })
-        return HttpResponse(200, Cbor.encode(body), stillValid = {
-            val now = clock.nowMicros()
-            if (orders.isEmpty()) authority.mayAnswer(now) else authority.mayOrder(now)
-        })
+        val answer = duty?.answer(report) ?: return elsewhere()
+        val body = mapOf("helm" to answer.helm, "orders" to answer.orders.map { it.toMap() })
+        return HttpResponse(200, Cbor.encode(body), stillValid = { answer.isValid(clock.nowMicros()) })
     }
 
     private fun elsewhere(): HttpResponse {
--- /dev/null
+++ b/src/main/kotlin/linemast/leadership/CancellationKnowledge.kt
@@ -0,0 +1,49 @@
+package linemast.leadership
+
+import linemast.settings.WorkerSettings
+
+/**
+ * Up to when this lead provably knows every cancellation that any controller has confirmed, and what follows for leases.
+ *
+ * A cancellation may be confirmed by any controller at any time. Whoever answers a report without halting the job's
+ * tasks does not know of it, so it was confirmed after [knownUpToMicros]; an answer given before [renewsUntilMicros]
+ * renews a lease that is over within the time a cancellation has. That holds for each answer by itself: it does not
+ * matter how many leads follow each other, nor whether the lead is still being renewed.
+ */
+class CancellationKnowledge(private val renewalMicros: Long) {
+    constructor(workers: WorkerSettings) : this(renewalMicros(workers.leaseMicros, workers.cancelMicros))
+
+    /** When the last read of the store that is complete was sent; null before the first. */
+    var knownUpToMicros: Long? = null
+        private set
+
+    /** Everything that the store held when a read was sent at [sentMicros] is known, and has been taken in. */
+    fun readAt(sentMicros: Long) {
+        knownUpToMicros = maxOf(knownUpToMicros ?: sentMicros, sentMicros)
+    }
+
+    /** Until when what is known now allows answers that renew a lease. */
+    val renewsUntilMicros: Long get() = knownUpToMicros?.let { it + renewalMicros } ?: Long.MIN_VALUE
+
+    /** Until when what is known now allows starts: a job whose cancellation is confirmed must not be started any more. */
+    val startsUntilMicros: Long get() = knownUpToMicros?.let { it + minOf(FRESH_MICROS, renewalMicros) } ?: Long.MIN_VALUE
+
+    /** Whether what was known at [sinceMicros] is too old for a lease to be renewed at [nowMicros]. */
+    fun isOver(sinceMicros: Long, nowMicros: Long): Boolean = nowMicros >= sinceMicros + renewalMicros
+
+    companion object {
+        private const val FRESH_MICROS = 4_000_000L
+        private const val MARGIN_MICROS = 3_000_000L
+        private const val MOST_MARGIN_PARTS = 4
+
+        /**
+         * For how long a lease may be renewed on what is known: with the lease that the last such answer gives it stays
+         * below a cancellation's time. A lease counts from when the report was sent, which is before its answer, so that
+         * flights need no room; the margin is for clocks and for what a worker takes to end its tasks.
+         */
+        fun renewalMicros(leaseMicros: Long, cancelMicros: Long): Long {
+            val left = cancelMicros - leaseMicros
+            return left - minOf(MARGIN_MICROS, left / MOST_MARGIN_PARTS) - Authority.drift(cancelMicros)
+        }
+    }
+}
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -36,7 +36,6 @@
 import linemast.wire.SECOND_MICROS
 import linemast.workers.Job
 import linemast.workers.Machine
-import linemast.workers.Order
 import linemast.workers.Report
 import org.slf4j.LoggerFactory
 
@@ -64,7 +63,8 @@
     private val events = Channel<() -> Unit>(settings.processLimits.fdLimit)
     private val times = TaskTimes()
     private val planner = Planner(settings, policy, times)
-    private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner, wallMicros, clock)
+    private val knowledge = CancellationKnowledge(settings.workers)
+    private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner, wallMicros, clock, knowledge)
     private val fleet = Fleet(settings, policy, authority.helm)
     private val steward = Steward(cluster, fleet, planner, policy)
     private val jobLedger = JobLedger(store, scope, authority, { cluster }, events::send, ::changed)
@@ -73,25 +73,27 @@
     private var loaded = false
     private val peersKnowing = HashSet<String>()
 
-    /** Orders for the answer to [report]; null for an answer that leaves the worker's lease alone. */
-    suspend fun answer(report: Report): List<Order>? {
+    /** The answer to [report], which renews the worker's lease; null if there must be none. */
+    suspend fun answer(report: Report): ReportAnswer? {
         if (report.helm > authority.helm) return null
-        val reply = CompletableDeferred<List<Order>?>()
+        val reply = CompletableDeferred<ReportAnswer?>()
+        // Reports wait until the store has been read: nothing is renewed by a leader that knows no cancellation.
         val taken = events.trySend {
             val now = clock.nowMicros()
-            reply.complete(
-                when {
-                    !authority.mayAnswer(now) || isCutOff(now) -> null
-                    // Before the store has been read the worker keeps its tasks, and no more.
-                    !loaded -> emptyList()
-                    // In grace there are no orders, but the answer renews a lease: it has to be counted.
-                    else -> cluster.report(report, now, authority.mayOrder(now))
-                },
-            )
+            val orders = if (!mayRenew(now) || isCutOff(now)) null else cluster.report(report, now, freedom(now))
+            reply.complete(orders?.let { ReportAnswer(authority.helm, it, knowledge, authority) })
         }
         return if (taken.isSuccess) reply.await() else null
     }
 
+    private fun mayRenew(nowMicros: Long) = authority.mayAnswer(nowMicros) && nowMicros < knowledge.renewsUntilMicros
+
+    private fun freedom(nowMicros: Long): Cluster.Freedom = when {
+        !authority.mayOrder(nowMicros) -> Cluster.Freedom.NO_ORDERS
+        nowMicros < knowledge.startsUntilMicros -> Cluster.Freedom.ALL
+        else -> Cluster.Freedom.NO_STARTS
+    }
+
     /**
      * Neither the store nor a peer answers: most likely this controller is cut off, and another one leads. In an
      * outage of the store alone the peers are still heard. Workers are better sent away than held in grace.
@@ -268,6 +270,7 @@
             }
             cluster.types = known.associateBy { it.name }
             try {
+                val sent = clock.nowMicros()
                 val open = store.listAll(JobKeys.OPEN_PREFIX)
                 val done = store.listAll(JobKeys.DONE_PREFIX)
                 val machines = fleetLedger.load()
@@ -277,6 +280,7 @@
                     val (id, part) = item.key.removePrefix(JobKeys.DONE_PREFIX).split('/')
                     cluster.jobs[id]?.let { jobLedger.takeDone(it, item, part.toInt()) }
                 }
+                knowledge.readAt(sent)
                 loaded = true
                 endEarlierGraceIfKnown()
                 log.info("read {} open jobs and {} machines from the store", records.size, machines.size)
@@ -295,14 +299,21 @@
         var era = startEra
         while (true) {
             try {
+                val sent = clock.nowMicros()
                 when (val result = store.follow(JobKeys.OPEN_PREFIX, era, FOLLOW_MICROS)) {
                     is FollowResult.News -> {
-                        if (result.changes.isNotEmpty()) events.send { result.changes.forEach(::changed) }
+                        events.send {
+                            result.changes.forEach(::changed)
+                            knowledge.readAt(sent)
+                        }
                         era = maxOf(era, result.era)
                     }
                     FollowResult.TooOld -> {
                         val page = store.listAll(JobKeys.OPEN_PREFIX)
-                        events.send { page.items.forEach { cluster.putJob(OpenRecord.read(it), it.stamp) } }
+                        events.send {
+                            page.items.forEach { cluster.putJob(OpenRecord.read(it), it.stamp) }
+                            knowledge.readAt(sent)
+                        }
                         era = page.era
                     }
                 }
@@ -356,6 +367,8 @@
         const val STANDING_CHUNK = 200
         const val PLAN_KEY = "plan"
         const val TICK_MICROS = 250_000L
-        const val FOLLOW_MICROS = 10 * SECOND_MICROS
+
+        /** Short, since what is known is only as recent as when the last answered question was sent. */
+        const val FOLLOW_MICROS = SECOND_MICROS
     }
 }
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -4,6 +4,7 @@
 import linemast.jobs.DoneSet
 import linemast.jobs.OpenRecord
 import linemast.leadership.Authority
+import linemast.leadership.CancellationKnowledge
 import linemast.planning.Planner
 import linemast.planning.TaskTimes
 import linemast.settings.Settings
@@ -36,7 +37,11 @@
     val planner: Planner,
     val wallMicros: () -> Long,
     private val clock: Clock,
+    private val knowledge: CancellationKnowledge = CancellationKnowledge(settings.workers),
 ) {
+    /** What an answer may order: all; no starts, while cancellations may be unknown; nothing but the end of what is cancelled. */
+    enum class Freedom { ALL, NO_STARTS, NO_ORDERS }
+
     private val log = LoggerFactory.getLogger(Cluster::class.java)
     val jobs = LinkedHashMap<String, Job>()
     val machines = LinkedHashMap<String, Machine>()
@@ -100,7 +105,7 @@
     fun load(records: List<Pair<OpenRecord, Long>>, recorded: List<Machine>, nowMicros: Long) {
         loadedMicros = nowMicros
         graceEndMicros = nowMicros + graceMicros + Authority.drift(graceMicros)
-        for ((record, stamp) in records) jobs[record.spec.id] = Job(record, stamp, inherited = record.opened)
+        for ((record, stamp) in records) add(record, stamp)
         for (machine in recorded) {
             machine.onRecord = true
             machine.inherited = true
@@ -127,7 +132,7 @@
     fun putJob(record: OpenRecord, stamp: Long) {
         val job = jobs[record.spec.id]
         if (job == null) {
-            jobs[record.spec.id] = Job(record, stamp, inherited = record.opened)
+            add(record, stamp)
         } else {
             job.stamp = maxOf(job.stamp, stamp)
             if (record.withdrawn) withdraw(job)
@@ -135,6 +140,12 @@
         dirty = true
     }
 
+    private fun add(record: OpenRecord, stamp: Long) {
+        val job = Job(record, stamp, inherited = record.opened)
+        if (job.withdrawn) job.withdrawnSinceMicros = clock.nowMicros()
+        jobs[job.id] = job
+    }
+
     /** The open record is gone: the job is over and nothing of it can be on a machine. */
     fun dropJob(id: String) {
         val job = jobs[id] ?: return
@@ -147,6 +158,8 @@
     fun withdraw(job: Job) {
         if (job.withdrawn) return
         job.withdrawn = true
+        // Confirmed after the last complete read, or that would have shown it.
+        job.withdrawnSinceMicros = knowledge.knownUpToMicros ?: clock.nowMicros()
         log.info("{}: withdrawn by its user, {} tasks to halt", job.id, job.placements.count { !it.isAssigned })
         unassign(job)
         dirty = true
@@ -193,7 +206,7 @@
      * Only a report that counts in the books may be answered: else a worker could keep tasks, answer by answer, that
      * the books give up at the end of its lease.
      */
-    fun report(report: Report, nowMicros: Long, mayOrder: Boolean): List<Order>? {
+    fun report(report: Report, nowMicros: Long, freedom: Freedom = Freedom.ALL): List<Order>? {
         // The cloud has confirmed its end: this is a late copy, and must not bring the machine back.
         if (report.rig in returned) return null
         val machine = machineOf(report) ?: return null
@@ -217,9 +230,10 @@
         machine.recallMicros = report.recallMicros
         reconcile(machine, report, nowMicros)
         if (machine.recallMicros != null) saveBeforeRecall(machine)
-        if (!mayOrder) return emptyList()
+        if (machine.placements.values.any { outlivesCancellation(it, nowMicros) }) return null
+        if (freedom == Freedom.NO_ORDERS) return haltsOfWithdrawn(machine)
         // A worker that does not show this helm has not heard this leader yet, and may never.
-        val mayStart = machine.hears && report.helm >= helm
+        val mayStart = freedom == Freedom.ALL && machine.hears && report.helm >= helm
         if (unsettled && machine.helm >= helm && unseenOn.remove(machine)) {
             unseenChanged = true
             if (unseenOn.isEmpty()) settle(nowMicros)
@@ -228,6 +242,24 @@
         return orders(machine, mayStart, nowMicros)
     }
 
+    /**
+     * A cancelled task that its worker has been told to end and reports all the same, for so long that only the end of the
+     * worker's lease ends it in time.
+     */
+    private fun outlivesCancellation(placement: Placement, nowMicros: Long): Boolean {
+        val job = placement.job ?: return false
+        return job.withdrawn && placement.haltSent && knowledge.isOver(job.withdrawnSinceMicros, nowMicros)
+    }
+
+    /** Verdicts are final: what they end may be ended by an earlier leader too. */
+    private fun haltsOfWithdrawn(machine: Machine): List<Order> =
+        machine.placements.values.filter { it.job?.withdrawn == true && !it.isAssigned }.map(::haltAtOnce)
+
+    private fun haltAtOnce(placement: Placement): Order {
+        placement.haltSent = true
+        return Order.Halt(placement.piece, placement.attempt, 0)
+    }
+
     private fun machineOf(report: Report): Machine? {
         machines[report.rig]?.let { return it }
         val type = types[report.build] ?: return null
@@ -370,6 +402,7 @@
                 placement.job?.gangAttemptUsed = true
                 orders += Order.Start(placement.piece, placement.attempt)
             } else if (shouldHalt(placement)) {
+                placement.haltSent = true
                 orders += Order.Halt(placement.piece, placement.attempt, placement.haltWindDownMicros)
             }
         }
--- a/src/main/kotlin/linemast/workers/Job.kt
+++ b/src/main/kotlin/linemast/workers/Job.kt
@@ -22,6 +22,9 @@
     var opened = if (record.opened) Opened.YES else Opened.NO
     var withdrawn = record.withdrawn
 
+    /** The earliest that its cancellation can have been confirmed, as far as this leader can tell. */
+    var withdrawnSinceMicros = 0L
+
     val done = BitSet()
     var doneCount = 0
         private set
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -31,6 +31,9 @@
     var haltReason: String? = null
     var haltWindDownMicros = 0L
 
+    /** Whether an answer has told its worker to stop it. */
+    var haltSent = false
+
     /** The first of a job after a long wait: not stopped to make room, or it might never get further. */
     var spared = false
 
--- /dev/null
+++ b/src/test/kotlin/linemast/leadership/CancellationKnowledgeTest.kt
@@ -0,0 +1,55 @@
+package linemast.leadership
+
+import linemast.workers.Order
+import linemast.workers.PieceId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class CancellationKnowledgeTest {
+    /** Reads that succeed, lag or fail; a cancellation at any time; the latest answer that does not know of it. */
+    @Test
+    fun `a lease renewed without knowing of a cancellation ends within its time`() {
+        val seed = 23
+        println("seed $seed")
+        val random = Random(seed)
+        for ((leaseS, cancelS) in listOf(11 to 36, 16 to 41, 13 to 38, 5 to 60, 10 to 12)) {
+            val lease = leaseS * 1_000_000L
+            val cancel = cancelS * 1_000_000L
+            repeat(200) {
+                val knowledge = CancellationKnowledge(CancellationKnowledge.renewalMicros(lease, cancel))
+                assertEquals(Long.MIN_VALUE, knowledge.renewsUntilMicros, "nothing is renewed before the first read")
+                var now = 1_000_000L
+                val cancelled = now + random.nextLong(60_000_000)
+                while (now < cancelled + cancel) {
+                    val sent = now
+                    now += random.nextLong(3_000_000)
+                    // A read sent before the cancellation was confirmed may miss it; a later one never does.
+                    if (sent < cancelled && random.nextInt(3) != 0) knowledge.readAt(sent)
+                }
+                val slowestLease = lease + Authority.drift(lease)
+                assertTrue(knowledge.renewsUntilMicros + slowestLease + 400_000 < cancelled + cancel)
+            }
+            assertTrue(CancellationKnowledge.renewalMicros(lease, cancel) > 1_000_000, "leases can be renewed at all")
+        }
+    }
+
+    @Test
+    fun `an answer is judged by what was known when it was made`() {
+        val knowledge = CancellationKnowledge(20_000_000)
+        val authority = Authority(3, 1, 4_000_000, 16_000_000, 0)
+        knowledge.readAt(0)
+        val empty = ReportAnswer(3, emptyList(), knowledge, authority)
+        val start = ReportAnswer(3, listOf(Order.Start(PieceId("req-1", 0), 1)), knowledge, authority)
+        knowledge.readAt(30_000_000)
+        repeat(10) { authority.renewed(it * 3_000_000L) }
+        assertTrue(empty.isValid(19_000_000))
+        assertFalse(empty.isValid(20_000_000), "it lacks what was learned while it waited")
+        assertTrue(start.isValid(3_500_000))
+        assertFalse(start.isValid(4_000_000), "its job may have been cancelled since")
+        authority.end()
+        assertFalse(empty.isValid(1))
+    }
+}
--- a/src/test/kotlin/linemast/placement/ClusterFixture.kt
+++ b/src/test/kotlin/linemast/placement/ClusterFixture.kt
@@ -20,6 +20,7 @@
     var now = 1_000_000L
     val droppedMachines = ArrayList<String>()
     private val settings = testSettings(teams)
+    val workers get() = settings.workers
     private val times = TaskTimes()
     private val effects = object : Effects {
         override fun storeOpened(job: Job) {
@@ -51,7 +52,7 @@
         return cluster.jobs.getValue(id)
     }
 
-    fun report(report: Report): List<Order> = cluster.report(report, now, mayOrder = true).orEmpty()
+    fun report(report: Report): List<Order> = cluster.report(report, now).orEmpty()
 
     /** Time passes, with the leader's regular work. */
     fun pass(micros: Long) {
--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -132,7 +132,7 @@
             worker.reportFor(5)
             assertEquals(8, worker.tasks.size)
             val machine = fixture.cluster.machines.getValue(worker.name)
-            assertNull(fixture.cluster.report(copy, fixture.now, mayOrder = true))
+            assertNull(fixture.cluster.report(copy, fixture.now))
             assertEquals(8, machine.placements.size)
             worker.reportFor(2)
             assertEquals(8, machine.placements.size)
@@ -146,7 +146,7 @@
         val worker = HandWorker(fixture, "host-000001")
         worker.reportFor(6)
         worker.tick = 0
-        assertNull(fixture.cluster.report(worker.makeReport(), fixture.now, mayOrder = true))
+        assertNull(fixture.cluster.report(worker.makeReport(), fixture.now))
     }
 
     /** A copy of a report to an earlier leader must not count as proof that the machine has heard of this one. */
@@ -280,4 +280,49 @@
     }
 
     private fun bothHold(workers: List<HandWorker>, job: String) = workers.all { worker -> worker.tasks.keys.any { it.first.job == job } }
+
+    /** A worker that renews its lease with each answer and does not end what it was told to end. */
+    @Test
+    fun `a cancelled task that does not end costs its machine the lease in time`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        fixture.submit("req-1", 2)
+        fixture.submit("req-2", 2)
+        worker.reportFor(4)
+        assertEquals(4, worker.tasks.size)
+        val stubborn = worker.tasks.keys.first { it.first.job == "req-1" }
+        fixture.cluster.withdraw(fixture.cluster.jobs.getValue("req-1"))
+        val withdrawnMicros = fixture.now
+        var answeredMicros = 0L
+        repeat(40) {
+            fixture.pass(1_000_000)
+            val orders = fixture.cluster.report(worker.makeReport(), fixture.now)
+            if (orders != null) {
+                answeredMicros = fixture.now
+                assertTrue(orders.any { it is Order.Halt && it.piece == stubborn.first }, "told again and again")
+            }
+        }
+        val workers = fixture.workers
+        assertTrue(answeredMicros > withdrawnMicros + 5_000_000)
+        assertTrue(answeredMicros + workers.leaseMicros < withdrawnMicros + workers.cancelMicros)
+    }
+
+    @Test
+    fun `without the lead nothing is ordered but the end of what is cancelled`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        fixture.submit("req-1", 2)
+        fixture.submit("req-2", 2)
+        worker.reportFor(4)
+        fixture.cluster.withdraw(fixture.cluster.jobs.getValue("req-1"))
+        fixture.submit("req-3", 2)
+        fixture.pass(1_000_000)
+        val orders = fixture.cluster.report(worker.makeReport(), fixture.now, Cluster.Freedom.NO_ORDERS).orEmpty()
+        assertEquals(setOf("req-1/0", "req-1/1"), orders.map { (it as Order.Halt).piece.toString() }.toSet())
+        fixture.pass(1_000_000)
+        val next = fixture.cluster.report(worker.makeReport(), fixture.now, Cluster.Freedom.NO_STARTS).orEmpty()
+        assertTrue(next.none { it is Order.Start }, "cancellations may be unknown")
+        fixture.pass(1_000_000)
+        assertEquals(2, fixture.report(worker.makeReport()).count { it is Order.Start })
+    }
 }
--- a/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -4,17 +4,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
-import kotlinx.coroutines.test.runTest
-import linemast.cloud.MachineType
-import linemast.settings.Settings
-import linemast.settings.SettingsReader
-import linemast.wire.Clock
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
-import kotlin.time.Duration.Companion.minutes
 
 /** Three controllers under generated faults, in virtual time; the rules are checked after every step. */
 class FaultSimulationTest {
@@ -43,7 +37,7 @@
      */
     @Test
     fun `answers given in grace count as renewals`() {
-        val world = world(seed = 1, LEASE_SECONDS) { world ->
+        val world = simulate(seed = 1) { world ->
             repeat(4) { number ->
                 val job = SimJob("req-90000$number", "north", 12, 1.0, false, false, false, true, 40_000_000)
                 world.user(job, null)
@@ -63,7 +57,7 @@
     /** Its workers go on reporting to it; held in its grace they would be lost to the new leader for that long. */
     @Test
     fun `a leader without the store and its peers sends its workers away`() {
-        val world = world(seed = 2, LEASE_SECONDS) { world ->
+        val world = simulate(seed = 2) { world ->
             world.user(SimJob("req-900001", "north", 12, 1.0, false, false, false, true, 30_000_000), null)
             delay(15_000)
             val leader = leaderOf(world)
@@ -81,7 +75,7 @@
 
     @Test
     fun `a leader that workers do not get through to gives the lead away`() {
-        val world = world(seed = 3, LEASE_SECONDS) { world ->
+        val world = simulate(seed = 3) { world ->
             delay(10_000)
             val leader = leaderOf(world)
             world.cutFromWorkers += leader
@@ -98,7 +92,7 @@
     @Test
     fun `rules hold on a fleet of hundreds of machines`() {
         val seed = 31
-        val world = world(seed, LEASE_SECONDS, size = 50) { world ->
+        val world = simulate(seed, size = 50) { world ->
             world.lateCopies = 0.05
             world.store.repeats = 0.05
             repeat(16) { number ->
@@ -133,29 +127,12 @@
         assertEquals(16, world.jobs.values.count { it.accepted })
     }
 
-    private fun leaderOf(world: SimWorld): Int = world.store.valueOf("leader")?.text("node")?.removePrefix("mast-")?.toInt() ?: -1
-
-    private fun play(seed: Int, controllersLeaseSeconds: Double): SimWorld = world(seed, controllersLeaseSeconds) { world ->
+    private fun play(seed: Int, controllersLeaseSeconds: Double): SimWorld = simulate(seed, controllersLeaseSeconds) { world ->
         backgroundScope.launch { submissions(world) }
         faults(world)
         delay(CALM_MILLIS)
     }
 
-    /** [size] is how many times the usual fleet, and the usual limits of teams, there are. */
-    private fun world(seed: Int, controllersLeaseSeconds: Double, size: Int = 1, script: suspend TestScope.(SimWorld) -> Unit): SimWorld {
-        lateinit var world: SimWorld
-        runTest(timeout = 5.minutes) {
-            val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
-            world = SimWorld(
-                backgroundScope, clock, seed, { settings(it, controllersLeaseSeconds, size) }, TYPES, (LEASE_SECONDS * 1e6).toLong(),
-                standing = 6 * size, mostMachines = 12 * size,
-            )
-            world.begin()
-            script(world)
-        }
-        return world
-    }
-
     private suspend fun submissions(world: SimWorld) {
         repeat(JOBS) { number ->
             val gang = world.random.nextInt(3) == 0
@@ -243,62 +220,9 @@
         }
     }
 
-    private suspend fun restart(world: SimWorld, node: Int, afterMillis: Long) {
-        world.killNode(node)
-        delay(afterMillis)
-        world.startNode(node)
-    }
-
-    /** Each knows of the others: without that a leader would take it that no earlier one can be in its grace. */
-    private fun members(name: String) = (0..2).map { "mast-$it" }.filter { it != name }
-        .joinToString { """{ node_name = "$it", domain = "a", peer_addr = "10.0.0.1:9" }""" }
-
-    private fun settings(name: String, leaseSeconds: Double, size: Int): Settings = SettingsReader.parse(
-        """
-        node_name = "$name"
-        domain = "a"
-        serve_on = "10.0.0.1:8080"
-        peer_listen = "10.0.0.1:8081"
-        members = [${members(name)}]
-        [external]
-        cloud = "10.2.0.2:1"
-        state = "10.2.0.1:1"
-        [settings]
-        zones = ["a", "b"]
-        clock_off_ms = 0.0
-        teams = [
-          { name = "north", cpus = ${16 * size}.0, cpus_max = ${24 * size}.0, gpus = 0.0, gpus_max = 0.0 },
-          { name = "south", cpus = ${8 * size}.0, cpus_max = ${16 * size}.0, gpus = 0.0, gpus_max = 0.0 },
-        ]
-        [settings.workers]
-        report_s = 1.0
-        lease_s = $leaseSeconds
-        gang_wait_s = 10.0
-        gang_peer_s = 2.0
-        cancel_s = 30.0
-        [settings.state]
-        rps = 100.0
-        write_rps = 50.0
-        value_kb = 8.0
-        txn_ops = 16
-        [settings.cloud]
-        rps = 5.0
-        list_lag_s = 5.0
-        [settings.limits]
-        cpu_share = 0.1
-        mem_mb = 150.0
-        fd_limit = 500
-        """.trimIndent(),
-    )
-
     private companion object {
-        const val LEASE_SECONDS = 8.0
         const val JOBS = 30
         const val FAULTS_MILLIS = 240_000L
         const val CALM_MILLIS = 300_000L
-        val TYPES = listOf(
-            MachineType("small", 4.0, 0.0, 32.0, 10.0, 1.0, 0.4, 0.1, 10_000_000, listOf("a", "b")),
-            MachineType("large", 8.0, 0.0, 64.0, 10.0, 1.0, 0.8, 0.2, 10_000_000, listOf("a", "b")),
-        )
     }
 }
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -37,6 +37,9 @@
     var outage = false
         private set
     val refused = HashSet<String>()
+
+    /** Controllers whose open watches get no answer, while all else is answered. */
+    val watchesHang = HashSet<String>()
     var lostAnswers = 0.0
 
     /** Share of transactions that were carried out and arrive a second time later. */
@@ -136,9 +139,10 @@
             enter()
             val end = clock.nowMicros() + waitMicros
             while (true) {
+                if (clock.nowMicros() > end + FOLLOW_PATIENCE_MICROS) throw StoreException("no answer", mayHaveRun = true)
                 expire()
                 val news = changes.filter { it.stamp > afterEra && it.key.startsWith(under) }
-                if (!outage && node !in refused && (news.isNotEmpty() || clock.nowMicros() >= end)) {
+                if (!outage && node !in refused && node !in watchesHang && (news.isNotEmpty() || clock.nowMicros() >= end)) {
                     return FollowResult.News(era, news)
                 }
                 delay(FOLLOW_STEP_MILLIS)
@@ -168,5 +172,6 @@
     private companion object {
         const val PAGE = 7
         const val FOLLOW_STEP_MILLIS = 25L
+        const val FOLLOW_PATIENCE_MICROS = 5_000_000L
     }
 }
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -202,7 +202,7 @@
     private fun checkCancelled() {
         for ((worker, task) in liveTasks()) {
             val told = jobs.getValue(task.job).withdrawnMicros ?: continue
-            if (clock.nowMicros() - told > cancelMicros && clock.nowMicros() >= worker.hungUntilMicros) {
+            if (clock.nowMicros() - told > cancelMicros) {
                 fail("ran_cancelled: ${task.job}/${task.index} still on ${worker.name}")
             }
         }
@@ -227,9 +227,13 @@
                 poll(job)
             }
         }
-        if (cancelAfterMillis == null) return
+        if (cancelAfterMillis != null) cancel(job, cancelAfterMillis)
+    }
+
+    /** The job's user calls it off, and asks until that is answered. */
+    fun cancel(job: SimJob, afterMillis: Long) {
         scope.launch {
-            delay(cancelAfterMillis)
+            delay(afterMillis)
             while (!job.accepted) delay(500)
             job.cancelAsked = true
             while (job.told == null) {
--- /dev/null
+++ b/src/test/kotlin/linemast/simulation/Simulation.kt
@@ -0,0 +1,82 @@
+package linemast.simulation
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import linemast.cloud.MachineType
+import linemast.settings.Settings
+import linemast.settings.SettingsReader
+import linemast.wire.Clock
+import kotlin.time.Duration.Companion.minutes
+
+internal const val LEASE_SECONDS = 8.0
+private val TYPES = listOf(
+    MachineType("small", 4.0, 0.0, 32.0, 10.0, 1.0, 0.4, 0.1, 10_000_000, listOf("a", "b")),
+    MachineType("large", 8.0, 0.0, 64.0, 10.0, 1.0, 0.8, 0.2, 10_000_000, listOf("a", "b")),
+)
+
+/** [size] is how many times the usual fleet, and the usual limits of teams, there are. */
+internal fun simulate(seed: Int, controllersLeaseSeconds: Double = LEASE_SECONDS, size: Int = 1, script: suspend TestScope.(SimWorld) -> Unit): SimWorld {
+    lateinit var world: SimWorld
+    runTest(timeout = 5.minutes) {
+        val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
+        world = SimWorld(
+            backgroundScope, clock, seed, { settings(it, controllersLeaseSeconds, size) }, TYPES, (LEASE_SECONDS * 1e6).toLong(),
+            standing = 6 * size, mostMachines = 12 * size,
+        )
+        world.begin()
+        script(world)
+    }
+    return world
+}
+
+/** Number of the controller that leads by the store, or -1. */
+internal fun leaderOf(world: SimWorld): Int = world.store.valueOf("leader")?.text("node")?.removePrefix("mast-")?.toInt() ?: -1
+
+internal suspend fun restart(world: SimWorld, node: Int, afterMillis: Long) {
+    world.killNode(node)
+    delay(afterMillis)
+    world.startNode(node)
+}
+
+/** Each knows of the others: without that a leader would take it that no earlier one can be in its grace. */
+private fun members(name: String) = (0..2).map { "mast-$it" }.filter { it != name }
+    .joinToString { """{ node_name = "$it", domain = "a", peer_addr = "10.0.0.1:9" }""" }
+
+private fun settings(name: String, leaseSeconds: Double, size: Int): Settings = SettingsReader.parse(
+    """
+    node_name = "$name"
+    domain = "a"
+    serve_on = "10.0.0.1:8080"
+    peer_listen = "10.0.0.1:8081"
+    members = [${members(name)}]
+    [external]
+    cloud = "10.2.0.2:1"
+    state = "10.2.0.1:1"
+    [settings]
+    zones = ["a", "b"]
+    clock_off_ms = 0.0
+    teams = [
+      { name = "north", cpus = ${16 * size}.0, cpus_max = ${24 * size}.0, gpus = 0.0, gpus_max = 0.0 },
+      { name = "south", cpus = ${8 * size}.0, cpus_max = ${16 * size}.0, gpus = 0.0, gpus_max = 0.0 },
+    ]
+    [settings.workers]
+    report_s = 1.0
+    lease_s = $leaseSeconds
+    gang_wait_s = 10.0
+    gang_peer_s = 2.0
+    cancel_s = 30.0
+    [settings.state]
+    rps = 100.0
+    write_rps = 50.0
+    value_kb = 8.0
+    txn_ops = 16
+    [settings.cloud]
+    rps = 5.0
+    list_lag_s = 5.0
+    [settings.limits]
+    cpu_share = 0.1
+    mem_mb = 150.0
+    fd_limit = 500
+    """.trimIndent(),
+)
--- a/src/test/kotlin/linemast/size/FleetPlay.kt
+++ b/src/test/kotlin/linemast/size/FleetPlay.kt
@@ -237,7 +237,7 @@
                 name, "", type.name, yard, loaners, 1, ++tick, helm, null,
                 tasks.values.map { PieceReport(it.piece, it.attempt, it.status, it.cause, false) },
             )
-            val orders = measured("report") { cluster.report(report, now, true) }.orEmpty()
+            val orders = measured("report") { cluster.report(report, now) }.orEmpty()
             if (helm != HELM) changed()
             helm = HELM
             orders.forEach(::execute)
