--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -325,4 +325,18 @@
         fixture.pass(1_000_000)
         assertEquals(2, fixture.report(worker.makeReport()).count { it is Order.Start })
     }
+
+    /** Its end was committed without an answer, and the store's news of it came first. */
+    @Test
+    fun `a job whose record is gone is halted where it still is, and then forgotten`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        fixture.submit("req-1", 1)
+        worker.reportFor(4)
+        assertEquals(1, worker.tasks.size)
+        fixture.cluster.dropJob("req-1")
+        assertEquals(listOf("req-1/0"), worker.reportFor(1).map { (it as Order.Halt).piece.toString() })
+        worker.reportFor(2)
+        assertEquals(emptySet<String>(), fixture.cluster.jobs.keys)
+    }
 }
