The store's next limits: sizes kept from the start, rates followed at the first refusal

settings.state.next is read and checked (optional). What is written keeps within the smaller of now and next: chunks of the fleet record by size (a chunk stored larger is split when it is written again, what gains first), the standing list and the plans by size, done sets and the ends of jobs by operations in a transaction, with the rest of the parts dropped after the verdict. A 429 leads to the next rates at once, shared among the controllers as before.

The simulated store enforces sizes, lowers them at a random time, and a value that is too large fails the test.

--- a/src/main/kotlin/linemast/leadership/FleetLedger.kt
+++ b/src/main/kotlin/linemast/leadership/FleetLedger.kt
@@ -20,11 +20,12 @@
     private val scope: CoroutineScope,
     private val authority: Authority,
     private val types: () -> Map<String, MachineType>,
+    valueBytes: Int,
     /** Runs an action in the turn of the routine that owns the cluster state. */
     private val inTurn: suspend (() -> Unit) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(FleetLedger::class.java)
-    private val record = FleetRecord()
+    private val record = FleetRecord(valueBytes)
     private val writes = Mutex()
     private var storing = false
 
--- a/src/main/kotlin/linemast/leadership/JobLedger.kt
+++ b/src/main/kotlin/linemast/leadership/JobLedger.kt
@@ -31,6 +31,7 @@
     private val scope: CoroutineScope,
     private val authority: Authority,
     private val cluster: () -> Cluster,
+    private val mostTxnOps: Int,
     /** Runs an action in the turn of the routine that owns the cluster state. */
     private val inTurn: suspend (() -> Unit) -> Unit,
     private val onChange: (Change) -> Unit,
@@ -72,7 +73,7 @@
     fun storeDone(job: Job) {
         job.writingDone = true
         scope.launch {
-            val parts = job.dirtyParts.stream().toArray()
+            val parts = job.dirtyParts.stream().limit(mostTxnOps.toLong()).toArray()
             val isDone = job.isDone
             val bits = parts.map { DoneSet.encodePart(job.done, it) }
             val result = attempt(log) { if (isDone) commitDone(job) else commitParts(job, parts, bits) }
@@ -121,11 +122,26 @@
     private suspend fun commitDone(job: Job): CommitResult {
         val verdict = store.get(JobKeys.verdict(job.id), Priority.INTAKE) ?: return CommitResult.Conflict(emptyList())
         if (VerdictRecord.read(verdict.value).verdict.isFinal) return CommitResult.Conflict(emptyList())
-        val writes = ArrayList<Write>()
-        writes += Write.Put(verdict.key, VerdictRecord(Verdict.DONE, job.spec.pieces).toMap())
-        writes += Write.Drop(JobKeys.open(job.id))
-        for (part in job.partStamps.keys) writes += Write.Drop(JobKeys.donePart(job.id, part))
-        return store.commit(listOf(fence, Condition(verdict.key, verdict.stamp)), writes, Priority.INTAKE)
+        val end = Write.Put(verdict.key, VerdictRecord(Verdict.DONE, job.spec.pieces).toMap())
+        return commitEnd(job, listOf(end), Condition(verdict.key, verdict.stamp))
+    }
+
+    /** Commits the end of a job's record. The parts of its done set go with it, as far as a transaction takes them, or after it. */
+    private suspend fun commitEnd(job: Job, writes: List<Write>, condition: Condition): CommitResult {
+        val parts = job.partStamps.keys.map { JobKeys.donePart(job.id, it) }
+        val record = writes + Write.Drop(JobKeys.open(job.id))
+        val room = mostTxnOps - record.size
+        val result = store.commit(listOf(fence, condition), record + parts.take(room).map { Write.Drop(it) }, Priority.INTAKE)
+        if (result is CommitResult.Applied) dropParts(parts.drop(room))
+        return result
+    }
+
+    /** Parts of the done sets of jobs that are over; those that this misses the next leader drops. */
+    fun dropParts(keys: List<String>) {
+        if (keys.isEmpty()) return
+        scope.launch {
+            for (some in keys.chunked(mostTxnOps)) attempt(log) { store.commit(listOf(fence), some.map { Write.Drop(it) }) }
+        }
     }
 
     /**
@@ -148,10 +164,7 @@
     fun dropWithdrawn(job: Job) {
         job.writingDone = true
         scope.launch {
-            val writes = ArrayList<Write>()
-            writes += Write.Drop(JobKeys.open(job.id))
-            for (part in job.partStamps.keys) writes += Write.Drop(JobKeys.donePart(job.id, part))
-            val result = attempt(log) { store.commit(listOf(fence, Condition(JobKeys.open(job.id), job.stamp)), writes) }
+            val result = attempt(log) { commitEnd(job, emptyList(), Condition(JobKeys.open(job.id), job.stamp)) }
             inTurn {
                 job.writingDone = false
                 when (result) {
--- a/src/main/kotlin/linemast/leadership/LeaderDuty.kt
+++ b/src/main/kotlin/linemast/leadership/LeaderDuty.kt
@@ -31,6 +31,7 @@
 import linemast.state.StoreException
 import linemast.state.Write
 import linemast.state.listAll
+import linemast.wire.Cbor
 import linemast.wire.Clock
 import linemast.wire.MalformedException
 import linemast.wire.SECOND_MICROS
@@ -61,14 +62,15 @@
 
     /** A connection has one report under way, so that all of them have room: none is turned away for a burst. */
     private val events = Channel<() -> Unit>(settings.processLimits.fdLimit)
+    private val limits = settings.stateLimits
     private val times = TaskTimes()
     private val planner = Planner(settings, policy, times)
     private val knowledge = CancellationKnowledge(settings.workers)
     private val cluster = Cluster(settings, authority.helm, graceMicros, this, times, planner, wallMicros, clock, knowledge)
     private val fleet = Fleet(settings, policy, authority.helm)
     private val steward = Steward(cluster, fleet, planner, policy)
-    private val jobLedger = JobLedger(store, scope, authority, { cluster }, events::send, ::changed)
-    private val fleetLedger = FleetLedger(store, scope, authority, { cluster.types }, events::send)
+    private val jobLedger = JobLedger(store, scope, authority, { cluster }, limits.mostTxnOps, events::send, ::changed)
+    private val fleetLedger = FleetLedger(store, scope, authority, { cluster.types }, limits.mostValueBytes, events::send)
     private val electedMicros = clock.nowMicros()
     private var loaded = false
     private val peersKnowing = HashSet<String>()
@@ -172,16 +174,21 @@
     /** The standing fleet is what the first leader of all found before anything was rented. */
     private suspend fun learnStanding() {
         val stored = store.listAll(STANDING_PREFIX).items
-        val names = if (stored.isNotEmpty()) {
+        // The first part is written last: without it the others are left from a start that ended half-way.
+        val names = if (stored.any { it.key == "${STANDING_PREFIX}0" }) {
             stored.flatMap { it.value.textsOrNull("rigs") ?: emptyList() }
         } else {
             val found = cloud.machines().filter { !it.loaners && it.status != "failed" }.map { it.name }
             // The list lags: only one that stays empty for long enough says that there is no standing fleet.
             val stillLagging = clock.nowMicros() < electedMicros + LAGS_UNTIL_EMPTY * settings.cloudLimits.listLagMicros
             if (found.isEmpty() && stillLagging) return
-            val chunks = found.chunked(STANDING_CHUNK).ifEmpty { listOf(emptyList()) }
+            val chunks = found.chunked(standingChunk(found)).ifEmpty { listOf(emptyList()) }
             val writes = chunks.mapIndexed { at, names -> Write.Put("$STANDING_PREFIX$at", mapOf("rigs" to names)) }
-            if (store.commit(listOf(authority.fence, Condition("${STANDING_PREFIX}0", 0L)), writes) !is CommitResult.Applied) return
+            val stale = stored.map { it.key }.filter { key -> writes.none { it.key == key } }.map { Write.Drop(it) }
+            val conditions = listOf(authority.fence, Condition("${STANDING_PREFIX}0", 0L))
+            for (some in (stale + writes.reversed()).chunked(limits.mostTxnOps)) {
+                if (store.commit(conditions, some) !is CommitResult.Applied) return
+            }
             log.info("standing fleet: {} machines", found.size)
             found
         }
@@ -191,6 +198,11 @@
         }
     }
 
+    private fun standingChunk(names: List<String>): Int {
+        val longest = names.maxOfOrNull { Cbor.jsonSize(it) + 1 } ?: 1
+        return ((limits.mostValueBytes - STANDING_FRAME_BYTES) / longest).coerceIn(1, STANDING_CHUNK)
+    }
+
     private fun rent(request: RentRequest) {
         scope.launch {
             repeat(RENT_TRIES) {
@@ -256,8 +268,10 @@
             )
         }
         scope.launch {
-            val record = Write.Put(PLAN_KEY, mapOf("at_us" to wallMicros(), "plans" to shown))
-            attempt(log) { store.commit(listOf(authority.fence), listOf(record), Priority.BACKGROUND) }
+            var plans: List<Map<String, Any?>> = shown
+            fun value() = mapOf("at_us" to wallMicros(), "plans" to plans)
+            while (plans.isNotEmpty() && Cbor.jsonSize(value()) > limits.mostValueBytes) plans = plans.dropLast((plans.size + 3) / 4)
+            attempt(log) { store.commit(listOf(authority.fence), listOf(Write.Put(PLAN_KEY, value())), Priority.BACKGROUND) }
         }
     }
 
@@ -276,10 +290,13 @@
                 val machines = fleetLedger.load()
                 val records = open.items.map { OpenRecord.read(it) to it.stamp }
                 cluster.load(records, machines, clock.nowMicros())
+                val left = ArrayList<String>()
                 for (item in done.items) {
                     val (id, part) = item.key.removePrefix(JobKeys.DONE_PREFIX).split('/')
-                    cluster.jobs[id]?.let { jobLedger.takeDone(it, item, part.toInt()) }
+                    val job = cluster.jobs[id]
+                    if (job == null) left += item.key else jobLedger.takeDone(job, item, part.toInt())
                 }
+                jobLedger.dropParts(left)
                 knowledge.readAt(sent)
                 loaded = true
                 endEarlierGraceIfKnown()
@@ -365,6 +382,7 @@
         const val PLANS_SHOWN = 40
         const val STANDING_PREFIX = "standing/"
         const val STANDING_CHUNK = 200
+        const val STANDING_FRAME_BYTES = 11
         const val PLAN_KEY = "plan"
         const val TICK_MICROS = 250_000L
 
--- a/src/main/kotlin/linemast/settings/Settings.kt
+++ b/src/main/kotlin/linemast/settings/Settings.kt
@@ -39,7 +39,20 @@
     val cancelMicros: Long,
 )
 
-class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
+class StateLimits(
+    val rps: Double,
+    val writeRps: Double,
+    val valueBytes: Int,
+    val txnOps: Int,
+    /** The limits that will hold from some moment on, which is not announced. */
+    val next: StateLimits? = null,
+) {
+    /** What values have to keep within: what is written now may have to be written again then. */
+    val mostValueBytes: Int get() = minOf(valueBytes, next?.valueBytes ?: valueBytes)
+
+    /** What a transaction has to keep within. */
+    val mostTxnOps: Int get() = minOf(txnOps, next?.txnOps ?: txnOps)
+}
 
 class CloudLimits(val rps: Double, val listLagMicros: Long)
 
--- a/src/main/kotlin/linemast/settings/SettingsReader.kt
+++ b/src/main/kotlin/linemast/settings/SettingsReader.kt
@@ -16,6 +16,8 @@
 /** Reads and checks the platform's TOML file. Unknown fields are ignored, as DEPLOY asks. */
 object SettingsReader {
     private val ID = Regex("[A-Za-z0-9_.-]{1,64}")
+    private const val LEAST_TXN_OPS = 4
+    private const val LEAST_VALUE_KB = 1.5
 
     fun read(path: Path): Settings {
         val text = try {
@@ -107,12 +109,24 @@
         return workers
     }
 
-    private fun stateLimits(fields: Fields) = StateLimits(
-        rps = positive(fields, "rps"),
-        writeRps = positive(fields, "write_rps"),
-        valueBytes = (positive(fields, "value_kb") * 1024).toInt(),
-        txnOps = count(fields, "txn_ops", 4),
-    )
+    private fun stateLimits(fields: Fields): StateLimits {
+        val rps = positive(fields, "rps")
+        val writeRps = positive(fields, "write_rps")
+        val valueBytes = valueBytes(fields)
+        val txnOps = count(fields, "txn_ops", LEAST_TXN_OPS)
+        val next = fields.childOrNull("next")?.let {
+            StateLimits(
+                rps = if (it.has("rps")) positive(it, "rps") else rps,
+                writeRps = if (it.has("write_rps")) positive(it, "write_rps") else writeRps,
+                valueBytes = if (it.has("value_kb")) valueBytes(it) else valueBytes,
+                txnOps = if (it.has("txn_ops")) count(it, "txn_ops", LEAST_TXN_OPS) else txnOps,
+            )
+        }
+        return StateLimits(rps, writeRps, valueBytes, txnOps, next)
+    }
+
+    /** A part of a done set alone takes nearly 1.5 KiB. */
+    private fun valueBytes(fields: Fields) = (atLeast(fields, "value_kb", LEAST_VALUE_KB) * 1024).toInt()
 
     private fun id(fields: Fields, name: String): String {
         val value = fields.text(name)
--- a/src/main/kotlin/linemast/state/StoreClient.kt
+++ b/src/main/kotlin/linemast/state/StoreClient.kt
@@ -12,29 +12,35 @@
 import linemast.wire.MalformedException
 import linemast.wire.NoAnswerException
 import linemast.wire.SECOND_MICROS
+import org.slf4j.LoggerFactory
 
 /** The state service over HTTP, within this controller's part of the service's limits. */
 class StoreClient(
     loop: EventLoop,
     address: Address,
-    private val limits: StateLimits,
-    private val controllers: Int,
+    limits: StateLimits,
+    controllers: Int,
     private val clock: Clock,
 ) : Store {
+    private val log = LoggerFactory.getLogger(StoreClient::class.java)
     private val calls = HttpClient(loop, address, MAX_CALLS, MAX_REPLY_BYTES)
     private val renewals = HttpClient(loop, address, 1)
     private val follows = HttpClient(loop, address, MAX_FOLLOWS, MAX_REPLY_BYTES)
-    private val requests = TokenBucket(limits.rps * USED_SHARE / controllers)
-    private val changes = TokenBucket(writeRate(leads = false))
+    private val rates = StoreRates(limits, controllers)
+    private val requests = TokenBucket(rates.requests)
+    private val changes = TokenBucket(rates.changes)
 
     /** The leader writes more than the others; while two take themselves for it, the service may refuse a call. */
     fun share(leads: Boolean) {
-        changes.perSecond = writeRate(leads)
+        rates.leads = leads
+        changes.perSecond = rates.changes
     }
 
-    private fun writeRate(leads: Boolean): Double {
-        val parts = controllers - 1 + LEADER_PARTS
-        return limits.writeRps * USED_SHARE * (if (leads) LEADER_PARTS else 1.0) / parts
+    private fun refusedForRate(isCommit: Boolean) {
+        if (!rates.refused(isCommit)) return
+        log.info("the state service refuses calls for their rate: from now on within its next limits")
+        requests.perSecond = rates.requests
+        changes.perSecond = rates.changes
     }
 
     override suspend fun get(key: String, priority: Priority): Item? {
@@ -63,7 +69,7 @@
                 }
             },
         )
-        val reply = call(calls, "POST", "/commit", Cbor.encode(body), priority)
+        val reply = call(calls, "POST", COMMIT_PATH, Cbor.encode(body), priority)
         return when (reply.status) {
             200 -> read(reply) { CommitResult.Applied(it.long("era")) }
             409 -> CommitResult.Conflict(runCatching { reply.fields().textsOrNull("failed") }.getOrNull() ?: emptyList())
@@ -122,6 +128,7 @@
         } catch (e: NoAnswerException) {
             throw StoreException(e.message ?: "no answer", mayHaveRun = true)
         }
+        if (reply.status == 429) refusedForRate(isCommit = path == COMMIT_PATH)
         if (reply.status == 503 || reply.status == 429) refuse(reply)
         return reply
     }
@@ -152,8 +159,7 @@
         const val MAX_FOLLOWS = 3
         const val PAGE_ITEMS = 500
         const val MAX_REPLY_BYTES = 4 * 1024 * 1024
-        const val USED_SHARE = 0.9
-        const val LEADER_PARTS = 2.0
+        const val COMMIT_PATH = "/commit"
         const val CALL_TIMEOUT_MICROS = 2 * SECOND_MICROS
         const val FOLLOW_GRACE_MICROS = 5 * SECOND_MICROS
     }
--- a/src/main/kotlin/linemast/wire/Cbor.kt
+++ b/src/main/kotlin/linemast/wire/Cbor.kt
@@ -1,5 +1,6 @@
 package linemast.wire
 
+import com.fasterxml.jackson.core.JsonFactory
 import com.fasterxml.jackson.core.JsonGenerator
 import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonToken
@@ -7,6 +8,7 @@
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory
 import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.io.OutputStream
 
 /**
  * Bodies of every interface: CBOR maps, lists, text, numbers, booleans and null.
@@ -20,6 +22,8 @@
         .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
         .build()
 
+    private val json = JsonFactory()
+
     fun encode(value: Any?): ByteArray {
         val out = ByteArrayOutputStream(256)
         factory.createGenerator(out).use { write(it, value) }
@@ -70,6 +74,26 @@
 
     private fun next(parser: JsonParser): JsonToken = parser.nextToken() ?: throw MalformedException("body: ends too early")
 
+    /** How many bytes [value] takes in the JSON form, in which the limits of the protocol are counted. */
+    fun jsonSize(value: Any?): Int {
+        val out = CountingStream()
+        json.createGenerator(out).use { write(it, value) }
+        return out.count
+    }
+
+    private class CountingStream : OutputStream() {
+        var count = 0
+            private set
+
+        override fun write(byte: Int) {
+            count++
+        }
+
+        override fun write(bytes: ByteArray, offset: Int, length: Int) {
+            count += length
+        }
+    }
+
     private fun write(out: JsonGenerator, value: Any?) {
         when (value) {
             null -> out.writeNull()
--- a/src/main/kotlin/linemast/workers/FleetRecord.kt
+++ b/src/main/kotlin/linemast/workers/FleetRecord.kt
@@ -2,57 +2,76 @@
 
 import linemast.cloud.MachineType
 import linemast.state.Item
+import linemast.wire.Cbor
 
 /**
  * The stored list of machines that may run tasks.
  *
  * A machine is written here before the first start is sent to it, so a new leader knows from the store alone,
- * without the cloud's lagging list, whose reports it has to wait for. Kept in chunks that fit a value.
+ * without the cloud's lagging list, whose reports it has to wait for. Kept in chunks that fit a value of [valueBytes]; a
+ * chunk that was stored larger is split when it is written again.
  */
-class FleetRecord {
-    private val chunks = ArrayList<LinkedHashMap<String, Map<String, Any?>>>()
+class FleetRecord(private val valueBytes: Int) {
+    private class Chunk {
+        val entries = LinkedHashMap<String, Map<String, Any?>>()
+        private val sizes = HashMap<String, Int>()
+
+        /** In the JSON form, with the map around the entries. */
+        var bytes = FRAME_BYTES
+            private set
+
+        fun put(name: String, entry: Map<String, Any?>) {
+            remove(name)
+            val size = sizeOf(entry)
+            entries[name] = entry
+            sizes[name] = size
+            bytes += size
+        }
+
+        fun remove(name: String): Boolean {
+            bytes -= sizes.remove(name) ?: return false
+            entries.remove(name)
+            return true
+        }
+    }
+
+    private val chunks = ArrayList<Chunk>()
     private val stamps = HashMap<String, Long>()
 
     fun read(items: List<Item>, types: Map<String, MachineType>): List<Machine> {
         chunks.clear()
         stamps.clear()
-        val machines = ArrayList<Machine>()
+        val machines = LinkedHashMap<String, Machine>()
         for (item in items.sortedBy { it.key.removePrefix(PREFIX).toInt() }) {
-            val chunk = LinkedHashMap<String, Map<String, Any?>>()
+            val chunk = Chunk()
             for (entry in item.value.children("rigs")) {
                 val type = types[entry.text("build")] ?: continue
                 val machine = Machine(entry.text("rig"), type, entry.text("yard"), entry.flag("loaners"))
+                // A split that ended half-way left it in two chunks.
+                if (machine.name in machines) continue
                 machine.owned = entry.flag("owned")
-                chunk[machine.name] = entry.map
-                machines += machine
+                chunk.put(machine.name, entry.map)
+                machines[machine.name] = machine
             }
             chunks += chunk
             stamps[item.key] = item.stamp
         }
-        return machines
+        return machines.values.toList()
     }
 
-    /** Adds or updates [machines]; the changed chunks by key. */
+    /** Adds or updates [machines]; the changed chunks by key, in the order in which they have to be written. */
     fun with(machines: List<Machine>): Map<String, Map<String, Any?>> {
         val changed = LinkedHashSet<Int>()
         for (machine in machines) {
-            var at = chunks.indexOfFirst { machine.name in it }
-            if (at < 0) at = chunks.indexOfFirst { it.size < CHUNK }
-            if (at < 0) {
-                chunks += LinkedHashMap<String, Map<String, Any?>>()
-                at = chunks.lastIndex
-            }
-            chunks[at][machine.name] = entry(machine)
-            changed += at
+            val at = chunks.indexOfFirst { machine.name in it.entries }
+            changed += if (at < 0) add(machine.name, entry(machine)) else at.also { chunks[it].put(machine.name, entry(machine)) }
         }
-        return changed.associate { value(it) }
+        return fitted(changed)
     }
 
-    /** Takes machines that are gone off the record; the changed chunks by key. */
-    fun without(names: Collection<String>): Map<String, Map<String, Any?>> {
-        val changed = chunks.indices.filter { at -> chunks[at].keys.removeAll(names.toSet()) }
-        return changed.associate { value(it) }
-    }
+    /** Takes machines that are gone off the record; the changed chunks by key, in the order in which they have to be written. */
+    fun without(names: Collection<String>): Map<String, Map<String, Any?>> =
+        fitted(chunks.indices.filterTo(LinkedHashSet()) { at -> names.count { chunks[at].remove(it) } > 0 })
 
     /** The revision a write of the chunk has to build on, so that a late write cannot undo a newer one. */
     fun stampOf(key: String): Long = stamps[key] ?: 0L
@@ -61,7 +80,33 @@
         stamps[key] = stamp
     }
 
-    private fun value(at: Int) = "$PREFIX$at" to mapOf("rigs" to chunks[at].values.toList())
+    private fun add(name: String, entry: Map<String, Any?>): Int {
+        val size = sizeOf(entry)
+        var at = chunks.indexOfFirst { it.bytes + size <= valueBytes && it.entries.size < MOST_ENTRIES }
+        if (at < 0) {
+            chunks += Chunk()
+            at = chunks.lastIndex
+        }
+        chunks[at].put(name, entry)
+        return at
+    }
+
+    /** Moves what is too much for a value elsewhere. What gains is written first, so that nothing is lost half-way. */
+    private fun fitted(changed: Set<Int>): Map<String, Map<String, Any?>> {
+        val gained = LinkedHashSet<Int>()
+        val split = LinkedHashSet<Int>()
+        for (at in changed) {
+            while (chunks[at].bytes > valueBytes && chunks[at].entries.size > 1) {
+                val (name, entry) = chunks[at].entries.entries.last()
+                chunks[at].remove(name)
+                gained += add(name, entry)
+                split += at
+            }
+        }
+        return (gained + (changed - split) + split).associate(::value)
+    }
+
+    private fun value(at: Int) = "$PREFIX$at" to mapOf("rigs" to chunks[at].entries.values.toList())
 
     private fun entry(machine: Machine) = mapOf(
         "rig" to machine.name,
@@ -73,6 +118,12 @@
 
     companion object {
         const val PREFIX = "fleet/"
-        private const val CHUNK = 60
+
+        /** Few enough that a change does not rewrite the whole fleet, whatever a value may hold. */
+        private const val MOST_ENTRIES = 60
+        private const val FRAME_BYTES = 11
+
+        /** With the comma behind it. */
+        private fun sizeOf(entry: Map<String, Any?>) = Cbor.jsonSize(entry) + 1
     }
 }
--- a/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -19,6 +19,7 @@
         val world = play(seed, controllersLeaseSeconds = LEASE_SECONDS)
         println("seed $seed: ${world.starts} starts, ${world.completed.size} tasks done, ${world.jobs.size} jobs")
         assertEquals(emptyList<String>(), world.broken)
+        assertEquals(emptyList<String>(), world.store.tooLarge)
         val open = world.jobs.values.filter { it.told == null }.map { it.id }
         assertEquals(emptyList<String>(), open)
         assertTrue(world.completed.isNotEmpty())
@@ -159,6 +160,11 @@
         world.cancelledAtEnd = 0.2
         world.store.lostAnswers = 0.02
         world.store.repeats = 0.05
+        backgroundScope.launch {
+            delay(world.random.nextLong(FAULTS_MILLIS))
+            world.store.valueBytes = 1_536
+            world.store.txnOps = 5
+        }
         while (testScheduler.currentTime < FAULTS_MILLIS) {
             delay(world.random.nextLong(2_000, 9_000))
             fault(world, backgroundScope)
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -48,6 +48,18 @@
     /** Share of transactions that were carried out and arrive a second time later. */
     var repeats = 0.0
 
+    /** What values and transactions may be at most; a larger one gets 400, and is noted. */
+    var valueBytes = 8 * 1024
+    var txnOps = 16
+    val tooLarge = ArrayList<String>()
+
+    private fun checkSize(writes: List<Write>) {
+        val large = writes.filter { it is Write.Put && Cbor.jsonSize(it.value) > valueBytes }.map { it.key }
+        if (large.isEmpty() && writes.size <= txnOps) return
+        tooLarge += "$large, ${writes.size} operations"
+        throw StoreException("400", mayHaveRun = false)
+    }
+
     fun startOutage() {
         outage = true
     }
@@ -119,6 +131,7 @@
 
         override suspend fun commit(conditions: List<Condition>, writes: List<Write>, priority: Priority): CommitResult {
             enter()
+            checkSize(writes)
             if (random.nextDouble() < lostAnswers) {
                 // Executed now or up to half a minute later; the caller never learns.
                 val late = if (random.nextBoolean()) 0L else random.nextLong(30_000)
--- a/src/test/kotlin/linemast/simulation/Simulation.kt
+++ b/src/test/kotlin/linemast/simulation/Simulation.kt
@@ -71,6 +71,7 @@
     write_rps = 50.0
     value_kb = 8.0
     txn_ops = 16
+    next = { value_kb = 1.5, txn_ops = 5, write_rps = 40.0 }
     [settings.cloud]
     rps = 5.0
     list_lag_s = 5.0
--- /dev/null
+++ b/src/test/kotlin/linemast/workers/FleetRecordTest.kt
@@ -0,0 +1,76 @@
+package linemast.workers
+
+import linemast.cloud.MachineType
+import linemast.state.Item
+import linemast.wire.Cbor
+import linemast.wire.Fields
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class FleetRecordTest {
+    private val type = MachineType("mare-32", 32.0, 0.0, 64.0, 10.0, 1.0, 1.0, 0.3, 30_000_000, listOf("bucuresti"))
+    private val types = mapOf(type.name to type)
+
+    /** The store, as far as this record goes. */
+    private val stored = sortedMapOf<String, Map<String, Any?>>()
+
+    private fun machine(number: Int) = Machine("host-%06d".format(number), type, "bucuresti", number % 3 == 0)
+
+    private fun reread(record: FleetRecord) = record.read(stored.map { (key, value) -> Item(key, Fields(value), 1) }, types).map { it.name }
+
+    @Test
+    fun `whatever changes, values keep within the limit and nothing is lost between two writes`() {
+        val seed = 5
+        println("seed $seed")
+        val random = Random(seed)
+        for (limit in listOf(1_536, 2_048, 16_384)) {
+            stored.clear()
+            val record = FleetRecord(limit)
+            val expected = LinkedHashSet<String>()
+            repeat(200) {
+                val gone = if (random.nextInt(3) == 0) expected.shuffled(random).take(random.nextInt(30)) else emptyList()
+                val come = List(if (gone.isEmpty()) random.nextInt(25) else 0) { machine(random.nextInt(400)) }
+                expected -= gone.toSet()
+                val writes = if (gone.isEmpty()) record.with(come) else record.without(gone)
+                for ((key, value) in writes) {
+                    stored[key] = value
+                    assertTrue(Cbor.jsonSize(value) <= limit, "$key is too large")
+                    assertTrue(reread(FleetRecord(limit)).containsAll(expected))
+                }
+                come.forEach { expected += it.name }
+                assertEquals(expected, reread(FleetRecord(limit)).toSet())
+            }
+        }
+    }
+
+    /** As the version before pipelines wrote it: 60 machines in a value, under numbers without a gap. */
+    @Test
+    fun `a chunk that was stored larger is read, and split when it is written again`() {
+        fun rig(number: Int) = mapOf(
+            "rig" to "host-%06d".format(number), "build" to "mare-32", "yard" to "bucuresti", "loaners" to false, "owned" to true,
+        )
+        stored["fleet/0"] = mapOf("rigs" to List(60) { rig(it) })
+        stored["fleet/1"] = mapOf("rigs" to List(7) { rig(60 + it) })
+        val record = FleetRecord(2_048)
+        val all = reread(record)
+        assertEquals(67, all.size)
+        for ((key, value) in record.without(listOf("host-000003"))) {
+            stored[key] = value
+            assertTrue(reread(FleetRecord(2_048)).containsAll(all - "host-000003"))
+        }
+        assertTrue(stored.values.all { Cbor.jsonSize(it) <= 2_048 })
+        assertEquals(stored.keys.toList(), stored.keys.indices.map { "fleet/$it" }, "numbers without a gap, as that version counts them")
+        assertEquals((all - "host-000003").toSet(), reread(FleetRecord(2_048)).toSet())
+    }
+
+    @Test
+    fun `records just at, under and over a value's limit`() {
+        val size = Cbor.jsonSize(FleetRecord(16_384).with(List(10) { machine(it) }).getValue("fleet/0"))
+        assertEquals(setOf("fleet/0"), FleetRecord(size + 1).with(List(10) { machine(it) }).keys)
+        assertEquals(setOf("fleet/0", "fleet/1"), FleetRecord(size - 1).with(List(10) { machine(it) }).keys)
+        val at = FleetRecord(size).with(List(10) { machine(it) })
+        assertTrue(at.values.all { Cbor.jsonSize(it) <= size })
+    }
+}
