Late copies after a restart are told by what they lack

Cause: a worker that was back at once reaches the session and report numbers of the one before; a late copy of the earlier worker's report then counts as the next one and its empty list ended running tasks in the books (ran_twice, fault simulation seeds 24 and 62 of 13 to 150, virtual time). A report of the same session that lacks a task reported and not ended there is rejected; while numbers are ambiguous a start is taken for lost only after a lease.

--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -213,6 +213,7 @@
         val newer = machine.isNewer(report, nowMicros)
         // A late copy or a report overtaken by a newer one: its worker does not wait for this answer any more.
         if (!newer && !machine.restarted(report, nowMicros, answeredWithinMicros)) return null
+        if (newer && machine.contradicts(report)) return null
         val usable = machine.hears && machine.helm >= helm
         machine.heardAgain(report, nowMicros, answeredWithinMicros, leastLeaseMicros)
         if (!usable && machine.hears && report.helm >= helm) dirty = true
@@ -301,7 +302,10 @@
             }
             advance(placement, piece, nowMicros)
         }
-        val gone = machine.placements.filter { (key, placement) -> key !in seen && !placement.isAssigned }
+        // Where a late copy cannot be told from a report, a start is not taken for lost before reports had time to show it.
+        val gone = machine.placements.filter { (key, placement) ->
+            key !in seen && !placement.isAssigned && !(machine.isAmbiguous && nowMicros < placement.sentMicros + leaseSpanMicros)
+        }
         gone.values.forEach { lost(it, "not reported any more") }
         if (machine.placements.isNotEmpty() || machine.idleSinceMicros == 0L) machine.idleSinceMicros = nowMicros
     }
--- a/src/main/kotlin/linemast/workers/Machine.kt
+++ b/src/main/kotlin/linemast/workers/Machine.kt
@@ -125,6 +125,19 @@
         return true
     }
 
+    /** Whether the worker counts sessions that an earlier one had reached: late copies of that one's reports look like its own. */
+    val isAmbiguous: Boolean get() = watch <= earlierWatch
+
+    /**
+     * Whether [report] is of this session and lacks a task that this session has reported and not ended. A worker lists its
+     * tasks until it is told to clear them: such a report is a late copy from before a restart, whatever it counts.
+     */
+    fun contradicts(report: Report): Boolean {
+        if (report.watch != watch) return false
+        val listed = report.pieces.mapTo(HashSet()) { it.key }
+        return placements.values.any { !it.isAssigned && it.phase != Placement.Phase.SENT && it.key !in listed }
+    }
+
     /** Takes note of whether answers reach the worker, from how soon its next report came. */
     fun heardAgain(report: Report, nowMicros: Long, mostBetweenMicros: Long, leaseMicros: Long) {
         hears = reportedMicros > 0 && report.watch == watch && nowMicros - reportedMicros <= mostBetweenMicros
--- a/src/test/kotlin/linemast/placement/ClusterTest.kt
+++ b/src/test/kotlin/linemast/placement/ClusterTest.kt
@@ -339,4 +339,28 @@
         worker.reportFor(2)
         assertEquals(emptySet<String>(), fixture.cluster.jobs.keys)
     }
+
+    /** After a restart a copy from before may count just as the next report would, and list nothing. */
+    @Test
+    fun `a copy that counts like the next report does not end tasks that were reported, nor a start on its way`() {
+        for (seen in listOf(true, false)) {
+            val fixture = ClusterFixture()
+            val worker = HandWorker(fixture, "host-000001")
+            worker.reportFor(60)
+            worker.watch = 1
+            worker.tick = 0
+            worker.helm = 0
+            worker.reportFor(30)
+            val job = fixture.submit("req-1", 8)
+            worker.reportFor(if (seen) 5 else 2)
+            assertEquals(8, worker.tasks.size)
+            fixture.pass(1_000_000)
+            val copy = Report(worker.name, "", ClusterFixture.TYPE.name, "z", false, 1, worker.tick + 1, fixture.helm, null, emptyList())
+            fixture.cluster.report(copy, fixture.now)
+            assertEquals(8, job.placements.count { !it.isAssigned })
+            worker.tick++
+            worker.reportFor(3)
+            assertEquals(8, job.placements.count { !it.isAssigned })
+        }
+    }
 }
