--- a/src/test/kotlin/linemast/jobs/JobDeskTest.kt
+++ b/src/test/kotlin/linemast/jobs/JobDeskTest.kt
@@ -1,5 +1,6 @@
 package linemast.jobs
 
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import linemast.cloud.MachineType
@@ -9,7 +10,9 @@
 import linemast.wire.Cbor
 import linemast.wire.Clock
 import linemast.wire.HttpRequest
+import linemast.wire.MalformedException
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
 
@@ -48,10 +51,68 @@
         assertEquals(listOf(503, 503), listOf(poll(desk, "req-000009"), submit(desk, job("name_id" to "req-000008"))))
     }
 
+    @Test
+    fun `submissions that await others`() = runTest {
+        val store = store()
+        val desk = desk(store) { types }
+        fun child(id: Int, vararg awaits: Int) = job("name_id" to "req-%06d".format(id), "awaits" to awaits.map { "req-%06d".format(it) })
+        submit(desk, job())
+        assertEquals(listOf(201, 200), listOf(submit(desk, child(2, 1, 1)), submit(desk, child(2, 1))))
+        assertEquals(listOf(422, 422), listOf(submit(desk, child(3, 1, 9)), submit(desk, child(3, 3))), "never accepted, itself included")
+        assertEquals(200, submit(desk, child(2, 9)), "a repeat gets its state, whatever it names")
+        for (bad in listOf("req-000001", listOf("nonsense"), listOf(1), List(65) { "req-$it" })) {
+            assertThrows(MalformedException::class.java, { runBlocking { submit(desk, job("name_id" to "req-000004", "awaits" to bad)) } }, "$bad")
+        }
+        assertEquals(201, submit(desk, job("name_id" to "req-000004", "awaits" to emptyList<String>())))
+        assertEquals(setOf("o/req-000001", "o/req-000004"), store.keysUnder("o/"), "a waiting job is not where it could be started")
+        assertEquals(setOf("w/req-000002"), store.keysUnder("w/"))
+        store.startOutage()
+        assertEquals(503, submit(desk, child(5, 1)), "the store cannot say")
+    }
+
+    /** Without a leader: each controller that is asked finds the withdrawn one and commits before it answers. */
+    @Test
+    fun `a cancellation reaches all that need the job, at any controller and without a leader`() = runTest {
+        val store = store()
+        fun id(at: Int) = "req-%06d".format(at)
+        submit(desk(store) { types }, job())
+        // A chain, a fan and a diamond on its end.
+        for (at in 2..9) submit(desk(store) { types }, job("name_id" to id(at), "awaits" to listOf(id(at - 1))))
+        for (at in 10..29) submit(desk(store) { types }, job("name_id" to id(at), "awaits" to listOf(id(9))))
+        submit(desk(store) { types }, job("name_id" to id(30), "awaits" to (10..29).map(::id)))
+        assertEquals("pending", state(desk(store) { types }, id(30)))
+        assertEquals(200, cancel(desk(store) { types }, id(1)))
+        assertEquals("withdrawn", state(desk(store) { types }, id(30)))
+        assertEquals("withdrawn", store.valueOf("j/${id(30)}")?.text("verdict"))
+        for (at in 2..29) assertEquals("withdrawn", state(desk(store) { types }, id(at)))
+        assertEquals(emptySet<String>(), store.keysUnder("w/"))
+        val late = desk(store) { types }
+        assertEquals(201, submit(late, job("name_id" to id(31), "awaits" to listOf(id(30)))), "accepted all the same")
+        assertEquals("withdrawn", state(late, id(31)))
+        assertEquals(setOf("o/${id(1)}"), store.keysUnder("o/"))
+    }
+
+    @Test
+    fun `what awaits only jobs that are done need not wait`() = runTest {
+        val store = store()
+        val desk = desk(store) { types }
+        store.clientOf("test").commit(emptyList(), listOf(Write.Put("j/req-000007", VerdictRecord(Verdict.DONE, 3).toMap())))
+        assertEquals(201, submit(desk, job("awaits" to listOf("req-000007"))))
+        assertEquals(setOf("o/req-000001"), store.keysUnder("o/"))
+    }
+
+    @Test
+    fun `a job that no value can take is refused at once`() = runTest {
+        val store = store()
+        val desk = desk(store, mostValueBytes = 700) { types }
+        assertEquals(201, submit(desk, job("builds" to listOf("t") + List(100) { "none-$it" })), "names of types that there are none of are not kept")
+        assertThrows(MalformedException::class.java) { runBlocking { submit(desk, job("name_id" to "req-000002", "bundle" to "x".repeat(200), "lane" to "y".repeat(200))) } }
+    }
+
     private fun TestScope.store() = SimStore(backgroundScope, Clock { testScheduler.currentTime * 1_000 + 1 }, Random(1))
 
-    private fun TestScope.desk(store: SimStore, types: () -> List<MachineType>?) = JobDesk(
-        store.clientOf("mast-0"), backgroundScope, mapOf("team" to Team("team", 8.0, 16.0, 0.0, 0.0)), types, { null }, { 0L }, 8 * 1024,
+    private fun TestScope.desk(store: SimStore, mostValueBytes: Int = 8 * 1024, types: () -> List<MachineType>?) = JobDesk(
+        store.clientOf("mast-0"), backgroundScope, mapOf("team" to Team("team", 8.0, 16.0, 0.0, 0.0)), types, { null }, { 0L }, mostValueBytes,
     )
 
     private suspend fun submit(desk: JobDesk, job: Map<String, Any?>) = status(desk, "POST", "/v1/jobs", Cbor.encode(job))
@@ -60,6 +121,9 @@
 
     private suspend fun cancel(desk: JobDesk, id: String) = status(desk, "POST", "/v1/jobs/$id/cancel", ByteArray(0))
 
+    private suspend fun state(desk: JobDesk, id: String): String? =
+        desk.handle(HttpRequest("GET", "/v1/jobs/$id", "", ByteArray(0)))?.let { Cbor.decodeMap(it.body).text("status") }
+
     private suspend fun status(desk: JobDesk, method: String, path: String, body: ByteArray): Int? =
         desk.handle(HttpRequest(method, path, "", body))?.status
 
--- /dev/null
+++ b/src/test/kotlin/linemast/simulation/PipelineSimulationTest.kt
@@ -0,0 +1,134 @@
+package linemast.simulation
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Pipelines on three controllers in virtual time; [SimWorld] checks too_early and orphaned among the other rules. */
+class PipelineSimulationTest {
+    @Test
+    fun `a chain is handed on within seconds`() {
+        val ends = ArrayList<Long>()
+        play(seed = 91) { world ->
+            world.pipeline(chain("req-50000", 6))
+            while (world.completed.size < 12) {
+                if (world.completed.size / 2 > ends.size) ends += world.clock.nowMicros()
+                delay(100)
+            }
+            ends += world.clock.nowMicros()
+        }
+        // Each runs for 3 s after an image of up to 2 s; the rest is the hand-over: commits, and up to two reports.
+        val longest = ends.zipWithNext { one, next -> next - one }.max()
+        println("ends of the stages: ${ends.map { it / 1_000 }} ms, the longest stage ${longest / 1_000} ms")
+        assertTrue(longest < 8_500_000, "a stage took $longest us")
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [92, 93, 94, 95])
+    fun `leaders change and the store is out while pipelines run and are cancelled`(seed: Int) = play(seed) { world ->
+        repeat(5) { number ->
+            val chain = chain("req-51%03d".format(number), 5)
+            world.pipeline(chain, lastOnlyThen = number == 2)
+            if (number % 2 == 1) launch {
+                delay(2_000 + world.random.nextLong(12_000))
+                world.cancel(chain[world.random.nextInt(3)], 0)
+            }
+            delay(2_000)
+        }
+        launch { restart(world, leaderOf(world).coerceAtLeast(0), 300) }
+        delay(6_000)
+        world.store.startOutage()
+        delay(if (seed % 2 == 0) 12_000 else 34_000)
+        world.store.endOutage()
+        world.store.lostAnswers = 0.2
+        delay(10_000)
+        world.store.lostAnswers = 0.0
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [96, 97])
+    fun `cancellations at the moment when a job ends`(seed: Int) = play(seed) { world ->
+        world.cancelledAtEnd = 0.5
+        repeat(8) { number ->
+            world.pipeline(chain("req-52%03d".format(number), 4))
+            delay(2_000)
+        }
+        delay(20_000)
+        world.cancelledAtEnd = 0.0
+    }
+
+    /** A wide fan between two jobs, cancelled at its first; no controller is asked to do it, the leader does. */
+    @Test
+    fun `a wide fan is withdrawn in the background, within the store's limits`() = play(seed = 98) { world ->
+        world.store.txnOps = 5
+        world.store.valueBytes = 1_536
+        val first = SimJob("req-530000", "north", 2, 1.0, false, false, false, true, 60_000_000)
+        val fan = List(40) { SimJob("req-5301%02d".format(it), "north", 1, 1.0, false, false, false, true, 1_000_000, awaits = listOf(first.id)) }
+        val last = SimJob("req-530999", "north", 1, 1.0, false, false, false, true, 1_000_000, awaits = fan.map { it.id })
+        world.pipeline(listOf(first) + fan + last)
+        while (!last.accepted) delay(500)
+        world.quiet = true
+        world.cancel(first, 0)
+        delay(15_000)
+        assertEquals(emptySet<String>(), world.store.keysUnder("w/"))
+        assertEquals(setOf("withdrawn"), (fan + last).map { world.store.valueOf("j/${it.id}")?.text("verdict") }.toSet())
+        world.quiet = false
+    }
+
+    /** Two versions side by side on each other's records; one that dies before its turn comes back old. */
+    @ParameterizedTest
+    @ValueSource(ints = [101, 102, 103, 104, 105, 106])
+    fun `a roll from the version before, with troubles, and pipelines once all are new`(seed: Int) = play(seed, { world -> world.oldNodes += listOf(0, 1, 2) }) { world ->
+        repeat(10) { number ->
+            val gang = number % 4 == 3
+            val job = SimJob("req-54%04d".format(number), if (number % 2 == 0) "north" else "south", if (gang) 2 else 6, if (gang) 4.0 else 1.0, gang, gang, false, true, 12_000_000)
+            world.user(job, if (number == 4) 9_000 else null)
+        }
+        delay(8_000)
+        val trouble = launch {
+            repeat(3) {
+                delay(4_000)
+                // Comes back as the version that it was.
+                restart(world, world.random.nextInt(3), 500)
+                world.workers.values.shuffled(world.random).first().hungUntilMicros = world.clock.nowMicros() + world.random.nextLong(9_000_000)
+            }
+        }
+        for (at in listOf(0, 1, 2).shuffled(world.random)) {
+            world.oldNodes -= at
+            restart(world, at, 1_000)
+            delay(world.random.nextLong(2_000, 9_000))
+        }
+        trouble.join()
+        repeat(3) { world.pipeline(chain("req-55%03d".format(it), 4)) }
+        delay(5_000)
+        world.store.valueBytes = 1_536
+        world.store.txnOps = 5
+        delay(10_000)
+        launch { restart(world, leaderOf(world).coerceAtLeast(0), 300) }
+    }
+
+    private fun chain(id: String, length: Int): List<SimJob> = List(length) { at ->
+        val gang = at % 3 == 2
+        SimJob(
+            "$id$at", "north", 2, if (gang) 2.0 else 1.0, gang, gang, false, true, 3_000_000,
+            awaits = if (at == 0) emptyList() else listOf("$id${at - 1}"),
+        )
+    }
+
+    private fun play(seed: Int, before: (SimWorld) -> Unit = {}, script: suspend TestScope.(SimWorld) -> Unit) {
+        val world = simulate(seed, before = before) { world ->
+            script(world)
+            world.calmSinceMicros = world.clock.nowMicros()
+            delay(200_000)
+        }
+        println("seed $seed: ${world.starts} starts, ${world.completed.size} tasks done, ${world.jobs.size} jobs")
+        assertEquals(emptyList<String>(), world.broken)
+        assertEquals(emptyList<String>(), world.store.tooLarge)
+        assertEquals(emptyList<String>(), world.jobs.values.filter { it.told == null }.map { it.id }, "without an end")
+    }
+}
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -72,6 +72,8 @@
 
     fun valueOf(key: String) = entries[key]?.let { Cbor.decodeMap(it.value) }
 
+    fun keysUnder(prefix: String): Set<String> = entries.keys.filterTo(LinkedHashSet()) { it.startsWith(prefix) }
+
     fun clientOf(node: String): Store = Client(node)
 
     private fun expire() {
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -142,11 +142,15 @@
         }
     }
 
+    /** Controllers that still write what the version before pipelines writes, and see what it sees. */
+    val oldNodes = HashSet<Int>()
+
     fun startNode(at: Int) {
         if (nodes[at] != null) return
         val nodeScope = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
         val name = "mast-$at"
-        val node = Node(settings(name), Policy(), store.clientOf(name), cloud, clock, clock::nowMicros, nodeScope)
+        val client = store.clientOf(name).let { if (at in oldNodes) OldFormatsStore(it) else it }
+        val node = Node(settings(name), Policy(), client, cloud, clock, clock::nowMicros, nodeScope)
         nodeScopes[at] = nodeScope
         nodes[at] = node
         node.start()
@@ -357,7 +361,11 @@
         }
     }
 
+    /** Nobody asks about jobs. */
+    var quiet = false
+
     private suspend fun poll(job: SimJob) {
+        if (quiet) return
         val sent = clock.nowMicros()
         val reply = ask("GET", "/v1/jobs/${job.id}", ByteArray(0)) ?: return
         if (reply.status == 404) fail("forgotten: ${job.id} is unknown")
--- /dev/null
+++ b/src/test/kotlin/linemast/upgrade/OldFormatsTest.kt
@@ -0,0 +1,96 @@
+package linemast.upgrade
+
+import linemast.cloud.MachineType
+import linemast.jobs.JobSpec
+import linemast.jobs.OpenRecord
+import linemast.jobs.Progress
+import linemast.jobs.Verdict
+import linemast.jobs.VerdictRecord
+import linemast.peers.PeerFrame
+import linemast.state.Item
+import linemast.testSpec
+import linemast.wire.Cbor
+import linemast.wire.Fields
+import linemast.workers.FleetRecord
+import linemast.workers.Machine
+import okio.Buffer
+import okio.ByteString.Companion.decodeHex
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/**
+ * The records and frames of the version before pipelines, written out: what it wrote has to be read, and what is written now
+ * has to pass the readers that it has, which are fixed here. Both versions serve side by side during an upgrade.
+ */
+class OldFormatsTest {
+    private val oldJob = mapOf(
+        "name_id" to "req-000412", "lane" to "train", "crew" to "vision", "shape" to "gang", "urgency" to "high", "pieces" to 16L,
+        "vcpus" to 8.0, "gpus" to 1.0, "memory_gb" to 64.0, "bundle" to "img-07", "pull_gb" to 6.2, "builds" to listOf("g8"),
+        "same_place" to true, "apart" to false, "loaners" to true, "guess_s" to 240.0, "mark_every_s" to 30.0, "mark_s" to 4.0,
+        "due_s" to 900.0,
+    )
+    private val oldOpen = mapOf("job" to oldJob, "at_us" to 1_700_000_000_000_000L, "opened" to true, "withdrawn" to false)
+    private val types = listOf(MachineType("g8", 96.0, 8.0, 768.0, 200.0, 1.0, 12.0, 4.5, 45_000_000, listOf("a", "b")))
+
+    private fun stored(value: Map<String, Any?>) = Cbor.decodeMap(Cbor.encode(value))
+
+    @Test
+    fun `records of jobs are read and rewritten without a loss`() {
+        val record = OpenRecord.read(stored(oldOpen))
+        assertEquals(oldOpen, stored(record.toMap()).map)
+        assertEquals(oldOpen + ("withdrawn" to true), stored(record.with(withdrawn = true).within(types).toMap()).map)
+        assertEquals(emptyList<String>(), record.spec.awaits)
+        assertNull(record.releasedWallMicros)
+        for (verdict in listOf("open", "done", "withdrawn")) {
+            val old = mapOf("verdict" to verdict, "pieces" to 16L)
+            assertEquals(old, stored(VerdictRecord.read(stored(old)).toMap()).map)
+        }
+    }
+
+    /** It asks for these fields, ignores others, and drops them when it rewrites. */
+    @Test
+    fun `what is written now passes the readers of the version before`() {
+        val waiting = OpenRecord(testSpec("req-2", "awaits" to listOf("req-1")), 5, opened = false, withdrawn = false)
+        val released = stored(waiting.released(9).toMap())
+        assertTrue(released.child("job").map.keys.containsAll(oldJob.keys - setOf("builds", "due_s")))
+        assertFalse(released.child("job").has("awaits"), "a job that may start awaits nothing: nothing is lost when it is rewritten")
+        assertEquals(listOf(5L, true, false), listOf(released.long("at_us"), released.flag("opened"), released.flag("withdrawn")))
+        JobSpec.read(released.child("job"))
+        val rewritten = OpenRecord.read(stored(released.map - "from_us"))
+        assertEquals(rewritten.acceptedWallMicros, rewritten.releasedWallMicros ?: 5L)
+        val verdict = stored(VerdictRecord(Verdict.OPEN, 3, listOf("req-1")).toMap())
+        assertEquals("open" to 3L, verdict.text("verdict") to verdict.long("pieces"))
+    }
+
+    @Test
+    fun `the record of machines keeps its keys and fields`() {
+        val old = mapOf("rigs" to listOf(mapOf("rig" to "host-000001", "build" to "g8", "yard" to "a", "loaners" to false, "owned" to true)))
+        val record = FleetRecord(2_048)
+        val machine = record.read(listOf(Item("fleet/0", stored(old), 7)), types.associateBy { it.name }).single()
+        assertEquals(listOf("host-000001", "g8", "a"), listOf(machine.name, machine.type.name, machine.yard))
+        assertTrue(machine.owned)
+        assertEquals(7L, record.stampOf("fleet/0"))
+        val written = record.with(List(80) { Machine("host-%06d".format(it + 2), types.single(), "b", true) })
+        for ((at, key) in written.keys.sorted().withIndex()) {
+            assertEquals("fleet/$at", key, "counted from 0 without a gap")
+            for (entry in Fields(written.getValue(key)).children("rigs")) {
+                listOf("rig", "build", "yard").forEach(entry::text)
+                listOf("loaners", "owned").forEach(entry::flag)
+            }
+        }
+    }
+
+    /** It refuses frames of another version, and bytes behind the last job. */
+    @Test
+    fun `frames between controllers are the same to the byte`() {
+        val frame = PeerFrame("mast-1", 7, leads = true, storeWorks = true, workersAsk = false, mapOf("req-1" to Progress(2, 3)))
+        val bytes = "0100066d6173742d3100000000000000070300010005" + "7265712d310000000200000003"
+        assertEquals(bytes, frame.encode().readByteString().hex())
+        val read = PeerFrame.decode(Buffer().write(bytes.decodeHex()))
+        assertEquals(listOf("mast-1", 7L, true, true, false), listOf(read.node, read.helm, read.leads, read.storeWorks, read.workersAsk))
+        assertEquals(2 to 3, read.progress.getValue("req-1").let { it.done to it.running })
+    }
+}
