Room is rented ahead for the next stage of a pipeline

A waiting job of which all that it needs is under way and ends within a boot is planned now, after all others and only to rent.

What waiting jobs asked of others is taken back when the last of them is let go; PipelineLedgerTest covers it.

--- a/src/main/kotlin/linemast/leadership/PipelineLedger.kt
+++ b/src/main/kotlin/linemast/leadership/PipelineLedger.kt
@@ -16,6 +16,7 @@
 import linemast.state.Store
 import linemast.state.Write
 import linemast.wire.MalformedException
+import linemast.workers.Job
 import org.slf4j.LoggerFactory
 
 /** Brings what [Pipelines] decides into the store, and what the store says of waiting jobs to [Pipelines]. */
@@ -34,6 +35,9 @@
     private val pipelines = Pipelines()
     private var passedBackMicros = Long.MIN_VALUE
 
+    /** Whether anything was asked of jobs that has to be taken back when nothing waits any more. */
+    private var hasPassedBack = false
+
     fun load(items: List<Item>) = items.forEach { pipelines.put(OpenRecord.read(it), it.stamp) }
 
     /** All that waits now, after changes were missed. */
@@ -59,7 +63,7 @@
     }
 
     fun step() {
-        if (pipelines.isEmpty) return
+        if (pipelines.isEmpty && !hasPassedBack) return
         val jobs = cluster().jobs
         val step = pipelines.step({ id -> jobs[id]?.let { !it.finished && !it.withdrawn } ?: false }, nowMicros())
         step.released.forEach(::release)
@@ -72,24 +76,44 @@
     private fun passBack() {
         if (passedBackMicros != Long.MIN_VALUE && nowMicros() - passedBackMicros < PASS_BACK_MICROS) return
         passedBackMicros = nowMicros()
+        hasPassedBack = !pipelines.isEmpty
         val times = cluster().times
         val needs = pipelines.needs { times.estimateMicros(it.spec) + HANDOVER_MICROS }
-        for (job in cluster().jobs.values) {
-            val needed = needs[job.id]
-            job.urgency = minOf(job.spec.urgency, needed?.urgency ?: job.spec.urgency)
-            job.neededByWallMicros = needed?.byWallMicros
+        cluster().jobs.values.forEach { it.isNeeded(needs[it.id]) }
+        cluster().coming = pipelines.coming(::remainingMicros).mapNotNull { (waiting, remaining) ->
+            if (remaining > bootMicros(waiting.record)) return@mapNotNull null
+            Job(waiting.record.released(wallMicros() + remaining), waiting.stamp, inherited = false).also { it.isNeeded(needs[it.id]) }
         }
     }
 
+    private fun Job.isNeeded(need: Needed?) {
+        urgency = minOf(spec.urgency, need?.urgency ?: spec.urgency)
+        neededByWallMicros = need?.byWallMicros
+    }
+
+    /** How long a job that is under way still takes; null for one that is not. */
+    private fun remainingMicros(id: String): Long? {
+        val job = cluster().jobs[id]?.takeIf { !it.withdrawn } ?: return null
+        if (job.pendingCount > 0 && job.placements.isEmpty()) return null
+        val whole = cluster().times.estimateMicros(job)
+        val now = nowMicros()
+        val longest = job.placements.maxOfOrNull { if (it.isRunning) whole - (now - it.runningSinceMicros) else whole } ?: 0L
+        return maxOf(longest, if (job.pendingCount > 0) whole else 0L) + HANDOVER_MICROS
+    }
+
+    /** How long it takes until a machine rented for the job is there, or longer now and then. */
+    private fun bootMicros(record: OpenRecord): Long =
+        (cluster().types.values.filter { it.takes(record.spec) }.maxOfOrNull { it.startupMicros } ?: 0L) * 3 / 2
+
     private fun release(job: WaitingJob) {
         scope.launch {
             val record = job.record.released(wallMicros()).within(cluster().types.values)
             val key = JobKeys.waiting(job.id)
             val writes = listOf(Write.Put(JobKeys.open(job.id), record.toMap()), Write.Drop(key))
             val result = attempt(log) { store.commit(listOf(authority.fence, Condition(key, job.stamp)), writes, Priority.INTAKE) }
-            settle(listOf(job), result) {
+            settle(listOf(job), result) { era ->
                 log.info("{}: all that it needs is done", job.id)
-                cluster().putJob(record, (result as CommitResult.Applied).era)
+                cluster().putJob(record, era)
             }
         }
     }
@@ -106,10 +130,10 @@
         }
     }
 
-    private suspend fun settle(jobs: List<WaitingJob>, result: CommitResult?, applied: () -> Unit) {
+    private suspend fun settle(jobs: List<WaitingJob>, result: CommitResult?, applied: (Long) -> Unit) {
         if (result is CommitResult.Applied) return inTurn {
             jobs.forEach { pipelines.drop(it.id) }
-            applied()
+            applied(result.era)
         }
         if (result is CommitResult.Conflict && LeaderKeys.LEADER in result.failed) return authority.end()
         // One whose record is not what it was taken for is over, or a commit without an answer has been carried out.
--- a/src/main/kotlin/linemast/leadership/Pipelines.kt
+++ b/src/main/kotlin/linemast/leadership/Pipelines.kt
@@ -129,6 +129,14 @@
         return needs
     }
 
+    /** Waiting jobs of which all that they still need is under way, with the time until the last of that ends. */
+    fun coming(remainingMicros: (String) -> Long?): List<Pair<WaitingJob, Long>> = waiting.values.mapNotNull { job ->
+        if (job in doomed || job.open.isEmpty()) return@mapNotNull null
+        var longest = 0L
+        for (id in job.open) longest = maxOf(longest, remainingMicros(id) ?: return@mapNotNull null)
+        job to longest
+    }
+
     private fun ownNeed(record: OpenRecord) =
         Needed(record.spec.urgency, record.spec.dueMicros?.let { record.acceptedWallMicros + it })
 
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -85,6 +85,9 @@
     /** Tasks of a job that the plan books on owned machines side by side. */
     var bookings: (Job) -> Int = { 0 }
 
+    /** Jobs that wait for others which will soon be done: room is rented for them ahead, and nothing else is done. */
+    var coming: List<Job> = emptyList()
+
     /** Set by whatever may change what can be placed. */
     var dirty = true
     private var nextPassMicros = 0L
--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -68,6 +68,9 @@
         plans.keys.retainAll(ids)
     }
 
+    /** A plan that was made ahead is made anew when its job is there. */
+    fun drop(ids: Collection<String>) = ids.forEach(plans::remove)
+
     /** Plans [jobs], which come in the order in which they get room: all anew, or only those without a plan. */
     fun plan(
         jobs: List<Job>,
--- a/src/main/kotlin/linemast/planning/Steward.kt
+++ b/src/main/kotlin/linemast/planning/Steward.kt
@@ -29,6 +29,10 @@
     private val known = HashSet<String>()
     private val demand = Demand()
 
+    /** Jobs that were planned before they may start. */
+    private var ahead: List<Job> = emptyList()
+    private var aheadIds: Set<String> = emptySet()
+
     /** True once after each whole plan, for the record in the store. */
     var freshPlan = false
 
@@ -36,9 +40,10 @@
         if (fleet.standing == null) return NOTHING
         if (!cluster.settled) return CloudActions(emptyList(), absentAtTakeOver(nowMicros))
         demand.watch(nowMicros)
+        val news = cluster.coming.any { it.id !in aheadIds }
         val arrived = cluster.jobs.values.count { it.id !in known && !it.withdrawn && !it.finished }
         // New jobs are planned at once, but together: each plan takes stock of the whole fleet.
-        val fresh = arrived > 0 && isDue(freshMicros, FRESH_MICROS, nowMicros)
+        val fresh = (arrived > 0 || news) && isDue(freshMicros, FRESH_MICROS, nowMicros)
         val whole = isDue(plannedMicros, policy.longIntervalMicros, nowMicros)
         if (!fresh && !whole && !isDue(lookedMicros, policy.shortIntervalMicros, nowMicros)) return NOTHING
         val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, planner, wallMicros).map { it.job }
@@ -48,7 +53,7 @@
             plan(jobs, whole, wallMicros, nowMicros)
         }
         lookedMicros = nowMicros
-        return look(jobs, nowMicros)
+        return look(jobs + ahead, nowMicros)
     }
 
     private fun isDue(lastMicros: Long, periodMicros: Long, nowMicros: Long): Boolean =
@@ -79,10 +84,14 @@
 
     private fun plan(jobs: List<Job>, whole: Boolean, wallMicros: Long, nowMicros: Long) {
         val owned = cluster.machines.values.filter { it.owned && !it.draining && nowMicros < it.leaseEndMicros }
-        planner.plan(jobs, owned, whole, ::bootMicros, wallMicros, nowMicros, cluster::isClosedTo)
+        // What waits comes last: it gets what the others leave, and is planned anew when it is let go.
+        planner.drop(aheadIds)
+        ahead = cluster.coming.filter { it.id !in cluster.jobs }
+        aheadIds = ahead.mapTo(HashSet()) { it.id }
+        planner.plan(jobs + ahead, owned, whole, ::bootMicros, wallMicros, nowMicros, cluster::isClosedTo)
         known.clear()
         jobs.forEach { known += it.id }
-        planner.forget(known)
+        planner.forget(known + aheadIds)
         cluster.bookings = { job -> planner.planOf(job)?.ownedSlots(nowMicros)?.let { Math.ceil(it).toInt() } ?: 0 }
         cluster.dirty = true
         if (!whole) return
--- /dev/null
+++ b/src/test/kotlin/linemast/leadership/PipelineLedgerTest.kt
@@ -0,0 +1,55 @@
+package linemast.leadership
+
+import kotlinx.coroutines.test.runTest
+import linemast.jobs.JobKeys
+import linemast.jobs.OpenRecord
+import linemast.jobs.Urgency
+import linemast.jobs.Verdict
+import linemast.placement.ClusterFixture
+import linemast.placement.HandWorker
+import linemast.simulation.SimStore
+import linemast.state.Change
+import linemast.state.Write
+import linemast.testSpec
+import linemast.wire.Clock
+import linemast.wire.Fields
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class PipelineLedgerTest {
+    /** What waiting jobs ask of others, and room rented ahead for them, must not outlast them. */
+    @Test
+    fun `when the last waiting job is let go nothing is asked of others any more`() = runTest {
+        val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
+        val store = SimStore(backgroundScope, clock, Random(1))
+        val client = store.clientOf("mast-0")
+        val waiting = OpenRecord(testSpec("req-2", "awaits" to listOf("req-1"), "urgency" to "high", "due_s" to 90.0), 0, opened = false, withdrawn = false)
+        client.commit(emptyList(), listOf(Write.Put("leader", emptyMap())))
+        client.commit(emptyList(), listOf(Write.Put(JobKeys.waiting("req-2"), waiting.toMap())))
+        val fixture = ClusterFixture()
+        val first = fixture.submit("req-1", 2)
+        HandWorker(fixture, "host-000001").reportFor(3)
+        val authority = Authority(5, stamp = 2, holdMicros = 60_000_000, graceMicros = 0, sentMicros = 0)
+        val ledger = PipelineLedger(
+            client, backgroundScope, authority, { fixture.cluster }, 5, { fixture.now }, { fixture.now }, { action -> action() },
+        )
+        ledger.load(client.list(JobKeys.WAITING_PREFIX, null).items)
+        ledger.step()
+        assertEquals(listOf("req-2"), fixture.cluster.coming.map { it.id })
+        assertEquals(Urgency.HIGH, first.urgency)
+        fixture.cluster.finish(first)
+        val other = fixture.submit("req-3", 1)
+        ledger.over("req-1", Verdict.DONE)
+        testScheduler.advanceTimeBy(1_000)
+        assertEquals(setOf("o/req-2"), store.keysUnder("o/") + store.keysUnder("w/"), "one transaction moves it")
+        assertEquals(setOf("req-2", "req-3"), fixture.cluster.jobs.keys)
+        ledger.changed(Change(JobKeys.waiting("req-2"), null, 9))
+        fixture.pass(2_000_000)
+        ledger.step()
+        assertEquals(emptyList<String>(), fixture.cluster.coming.map { it.id })
+        assertNull(other.neededByWallMicros)
+        assertEquals(listOf(true, true), Fields(store.valueOf("o/req-2")?.map.orEmpty()).let { listOf(it.flag("opened"), it.has("from_us")) })
+    }
+}
--- a/src/test/kotlin/linemast/leadership/PipelinesTest.kt
+++ b/src/test/kotlin/linemast/leadership/PipelinesTest.kt
@@ -113,4 +113,20 @@
         assertEquals(Urgency.NORMAL, pipelines.needs { 0 }.getValue("req-1").urgency)
         assertFalse("req-3" in pipelines.needs { 0 })
     }
+
+    @Test
+    fun `what comes next is known once all that it still needs is under way`() {
+        val pipelines = Pipelines()
+        pipelines.put(record(3, listOf(1, 2)), 1)
+        pipelines.put(record(4, listOf(3)), 2)
+        val running = mutableMapOf("req-1" to 20L)
+        fun coming() = pipelines.coming(running::get).map { (job, left) -> job.id to left }
+        assertEquals(emptyList<Pair<String, Long>>(), coming(), "nobody knows when the second begins")
+        running["req-2"] = 50L
+        assertEquals(listOf("req-3" to 50L), coming(), "the last of them counts")
+        pipelines.learned("req-2", Verdict.DONE)
+        assertEquals(listOf("req-3" to 20L), coming())
+        pipelines.learned("req-1", Verdict.WITHDRAWN)
+        assertEquals(emptyList<Pair<String, Long>>(), coming())
+    }
 }
