--- a/src/main/kotlin/linemast/leadership/Leader.kt
+++ b/src/main/kotlin/linemast/leadership/Leader.kt
@@ -87,6 +87,7 @@
     )
     private val cloudOperations =
         CloudOperations(cloud, clock, scope, authority, cluster, fleet, provisioner, fleetStore, standingFleetStore, events::send)
+    private val usageLog = UsageLog(cluster, fleet)
     private val planStore = PlanStore(store, scope, authority, planner, limits.mostValueBytes, wallMicros)
     private val storedJobs: StoredJobs =
         StoredJobs(store, clock, cluster, { jobStore }, fleetStore, { pipelines }, knowledge, types, events::send)
@@ -171,6 +172,7 @@
         leaveIfWorkersAreLost(now)
         pipelines.step()
         cluster.tick(now)
+        usageLog.step(now)
         cloudOperations.run(provisioner.step(wallMicros(), now))
         if (provisioner.freshPlan) {
             provisioner.freshPlan = false
