--- a/src/main/kotlin/linemast/cloud/ReturnRules.kt
+++ b/src/main/kotlin/linemast/cloud/ReturnRules.kt
@@ -56,11 +56,14 @@
         val isBusy = worker.placements.isNotEmpty() || worker.reservedFor != null
         if (isBusy || situation.nowMicros - worker.reportedMicros > quietMicros || situation.isNeeded(worker)) return null
         val idleMicros = situation.nowMicros - worker.idleSinceMicros
-        if (!isOwned) return if (idleMicros > policy.idleReturnMicros) "idle" else null
-        val patience = if (situation.demandCeased) policy.idleReturnMicros else policy.ownedIdleMicros
-        return if (idleMicros > patience) "owned, long idle" else null
+        if (!isOwned) return if (idleMicros > patienceMicros(policy.idleReturnMicros, situation)) "idle" else null
+        return if (idleMicros > patienceMicros(policy.ownedIdleMicros, situation)) "owned, long idle" else null
     }
 
+    /** Once demand has ceased nothing is kept for it, beyond the time in which a running task may not show in a report yet. */
+    private fun patienceMicros(usualMicros: Long, situation: Situation): Long =
+        if (situation.demandCeased) minOf(usualMicros, quietMicros) else usualMicros
+
     private companion object {
         const val NEVER_BOOTS = 4
         const val NEVER_MICROS = 20_000_000L
