--- a/src/main/kotlin/linemast/placement/Pass.kt
+++ b/src/main/kotlin/linemast/placement/Pass.kt
@@ -1,6 +1,7 @@
 package linemast.placement
 
 import linemast.workers.Job
+import linemast.workers.Machine
 import linemast.workers.Placement
 
 /** What one pass of placement works with: jobs in their order, machines by their room, and what teams may still use. */
@@ -63,6 +64,13 @@
         )
     }
 
+    /** Whether machines are left to jobs whose image they have. */
+    var heedsImages = true
+    private val imageAffinity = ImageAffinity(jobs) { roomInTeam(it, null) > 0 }
+
+    /** Whether [machine] is left to another job for now. */
+    fun isLeftToAnother(job: Job, machine: Machine): Boolean = heedsImages && imageAffinity.prefersAnother(job, machine)
+
     class KeptRoom(val cpus: Double, val gpus: Double)
 
     private fun unseenOf(team: String): Amounts = unseen.getOrPut(team) {
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -62,7 +62,7 @@
                 placeArray(job, if (job.guaranteed) Int.MAX_VALUE else cluster.bookings(job), pass)
             }
         }
-        for (job in ready) if (!job.spec.isGang && job.pendingCount > 0) placeArray(job, Int.MAX_VALUE, pass)
+        placeLeftOver(ready, pass)
         val ending = HashSet<Placement>()
         for (job in ready) {
             if (job.guaranteed && !job.spec.isGang && job.pendingCount > 0) {
@@ -71,6 +71,14 @@
         }
     }
 
+    /** Arrays take what is free whatever was booked: first machines that no other job has the image for, then any. */
+    private fun placeLeftOver(ready: List<Job>, pass: Pass) {
+        val arrays = ready.filter { !it.spec.isGang }
+        for (job in arrays) if (job.pendingCount > 0) placeArray(job, Int.MAX_VALUE, pass)
+        pass.heedsImages = false
+        for (job in arrays) if (job.pendingCount > 0) placeArray(job, Int.MAX_VALUE, pass)
+    }
+
     /** By quarters of the time between reports, so that within one the usual order holds. */
     private fun turn(machine: Machine, nowMicros: Long): Int =
         -((nowMicros - machine.reportedMicros) * TURNS_PER_REPORT / reportMicros).toInt()
@@ -154,7 +162,7 @@
         var ownedLeft = if (ownedSlots == Int.MAX_VALUE) ownedSlots else ownedSlots - job.placements.count { it.machine.owned }
         for (machine in pass.machines.candidates(job)) {
             if (machine.owned && ownedLeft <= 0) continue
-            if (pass.machines.keepFree(job.spec, machine)) continue
+            if (pass.machines.keepFree(job.spec, machine) || pass.isLeftToAnother(job, machine)) continue
             val placed = fill(machine, job, left, places, pass)
             left -= placed
             if (machine.owned) ownedLeft -= placed
--- /dev/null
+++ b/src/test/kotlin/linemast/placement/ImageAffinityTest.kt
@@ -0,0 +1,71 @@
+package linemast.placement
+
+import linemast.cloud.MachineType
+import linemast.jobs.OpenRecord
+import linemast.testSpec
+import linemast.workers.Job
+import linemast.workers.Machine
+import linemast.workers.Placement
+import linemast.workers.TaskId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** A machine goes to a job that has its image there, as long as that one is of about the same rank. */
+class ImageAffinityTest {
+    private val type = MachineType("small", 8.0, 0.0, 16.0, 50.0, 0.2, 0.42, 0.1, 25_000_000, listOf("z"))
+    private val machine = Machine("host-000001", type, "z", false).also { it.images += "held" }
+
+    private fun job(id: String, image: String, priority: String = "normal", tasks: Int = 4) = Job(
+        OpenRecord(testSpec(id, "bundle" to image, "urgency" to priority, "pieces" to tasks), 0L, opened = true, cancelled = false),
+        1L,
+        inherited = false,
+    )
+
+    private fun rank(job: Job, dueSeconds: Long, guaranteed: Boolean = false, missed: Int = 0) =
+        JobOrder.Ranked(job, guaranteed, missed, dueSeconds * 1_000_000)
+
+    private val lacking = job("req-1", "other")
+
+    private fun isLeft(holder: JobOrder.Ranked, teamHasRoom: Boolean = true): Boolean =
+        ImageAffinity(listOf(rank(lacking, 100), holder)) { teamHasRoom }.prefersAnother(lacking, machine)
+
+    @Test
+    fun `a machine is left to a job that has its image there and is due about as soon`() {
+        assertTrue(isLeft(rank(job("req-2", "held"), 160)))
+        assertFalse(isLeft(rank(job("req-2", "held"), 161)))
+        assertFalse(isLeft(rank(job("req-2", "third"), 90)))
+    }
+
+    @Test
+    fun `not to one of another priority, one that has missed more, one without tasks, or one its team's limit holds back`() {
+        assertFalse(isLeft(rank(job("req-2", "held", priority = "idle"), 100)))
+        assertFalse(isLeft(rank(job("req-2", "held"), 100, missed = 1)))
+        assertFalse(isLeft(rank(job("req-2", "held"), 100), teamHasRoom = false))
+        val placed = job("req-2", "held", tasks = 1)
+        placed.add(Placement(Machine("host-000002", type, "z", false), TaskId("req-2", 0), 1, placed))
+        assertFalse(isLeft(rank(placed, 100)))
+    }
+
+    @Test
+    fun `a job within its guarantee or after a long wait takes what it gets`() {
+        val holder = rank(job("req-2", "held"), 100)
+        lacking.guaranteed = true
+        assertFalse(isLeft(holder))
+        lacking.guaranteed = false
+        lacking.waitsLong = true
+        assertFalse(isLeft(holder))
+    }
+
+    @Test
+    fun `what nobody with its image wants goes to any job in the same pass`() {
+        val fixture = ClusterFixture()
+        val worker = HandWorker(fixture, "host-000001")
+        worker.reportFor(3)
+        fixture.cluster.machines.getValue(worker.name).images += "held"
+        val job = fixture.submit("req-1", taskCount = 3)
+        worker.reportFor(2)
+        assertEquals(3, job.takenCount)
+    }
+}
