--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -175,16 +175,25 @@
         val topUp = shortfall(job, nowMicros)
         val toRent = (tasks - owned.sum() + topUp).coerceIn(0.0, tasks)
         fillShortIntervals(usable, owned, rented, toRent)
-        // Rented machines must first boot; what is left until the deadline tells how many are needed at once.
-        // What no rented machine can end in time is not worth one for each task: it is spread over a longer span.
-        val tooLate = deadlineMicros - bootMicros < task
-        val rentedSpan = if (tooLate) maxOf(LATE_INTERVALS * interval, task) else deadlineMicros - bootMicros
+        val rentedSpan = rentedSpanMicros(deadlineMicros - bootMicros, task)
         val rentedSlots = toRent / Math.floor(rentedSpan.toDouble() / task).coerceAtLeast(1.0)
         val firstSlots = owned[0] / JobPlan.slots(span(0), task)
         val backup = (firstSlots - forecast.freeNow(job)).coerceAtLeast(0.0)
         return JobPlan(nowMicros, interval, task, owned, rented, rentedSlots, backup, job.doneCount, topUp, deadlineWallMicros(job))
     }
 
+    /**
+     * Over which time rented machines work on a job, given what its deadline leaves of it after a boot.
+     *
+     * No longer than [RENTED_INTERVALS]: machines are paid by the second, so that a longer span saves nothing, and work put off to
+     * its deadline leaves no time for what comes later. What no rented machine can end in time is not worth one for
+     * each task: it gets the whole span.
+     */
+    private fun rentedSpanMicros(leftMicros: Long, taskMicros: Long): Long {
+        val longest = maxOf(RENTED_INTERVALS * policy.longIntervalMicros, taskMicros)
+        return if (leftMicros < taskMicros) longest else minOf(leftMicros, longest)
+    }
+
     /** A gang is planned whole, in the first interval, on the side that has room for it. */
     private fun planGang(job: Job, forecast: Forecast, tasks: Double, task: Long, nowMicros: Long): JobPlan {
         val owned = DoubleArray(INTERVALS)
@@ -236,6 +245,6 @@
     private companion object {
         const val INTERVALS = 10
         const val IMPLIED_RUNS = 3
-        const val LATE_INTERVALS = 2
+        const val RENTED_INTERVALS = 2L
     }
 }
--- a/src/test/kotlin/linemast/planning/PlannerTest.kt
+++ b/src/test/kotlin/linemast/planning/PlannerTest.kt
@@ -87,6 +87,15 @@
         assertEquals(0.0, planner.wishes(listOf(job), { it === machine }, 0L).single().slots, 1e-9)
     }
 
+    @Test
+    fun `work for rented machines is not put off to a distant deadline`() {
+        val tasks = 40
+        // Two long intervals hold three tasks of 40 s one after another.
+        assertEquals(tasks / 3.0, plan(job("req-1", tasks, estimateS = 40, deadlineS = 600), emptyList()).rentedSlots, 1e-6)
+        assertEquals(tasks / 2.0, plan(job("req-1", tasks, estimateS = 40, deadlineS = 100), emptyList()).rentedSlots, 1e-6)
+        assertEquals(tasks / 3.0, plan(job("req-1", tasks, estimateS = 40, deadlineS = 30), emptyList()).rentedSlots, 1e-6)
+    }
+
     private fun plan(job: Job, machines: List<Machine>): JobPlan {
         val planner = planner()
         planner.plan(listOf(job), machines, true, { 0L }, 0L, 0L)
