--- a/src/main/kotlin/linemast/cloud/CloudClient.kt
+++ b/src/main/kotlin/linemast/cloud/CloudClient.kt
@@ -16,6 +16,9 @@
 import linemast.wire.NoAnswerException
 import linemast.wire.SECOND_MICROS
 
+/** As many machines as the cloud lists in one call. */
+const val MACHINES_A_LIST_CALL = 500
+
 /** A machine as the cloud lists it; the list lags behind. */
 class ListedMachine(
     val name: String,
@@ -71,7 +74,7 @@
         val all = ArrayList<ListedMachine>()
         var after = ""
         while (true) {
-            val path = "/machines?limit=$PAGE" + if (after.isEmpty()) "" else "&after=$after"
+            val path = "/machines?limit=$MACHINES_A_LIST_CALL" + if (after.isEmpty()) "" else "&after=$after"
             val truncated = read(call("GET", path, null, Priority.ORDINARY)) { page ->
                 page.children("rigs").mapTo(all, ::machine)
                 page.flagOrNull("truncated") ?: false
@@ -145,7 +148,6 @@
     private companion object {
         const val MAX_CALLS = 3
         const val MAX_RETURN = 100
-        const val PAGE = 500
         const val USED_SHARE = 0.8
         const val CALL_TIMEOUT_MICROS = 5 * SECOND_MICROS
     }
--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -41,6 +41,13 @@
     private val pendingRents = LinkedHashMap<String, RentRequest>()
     private var requestCount = 0L
 
+    /** Requests under way at once, so that a call is made by what is known when it leaves, not by what was known a queue ago. */
+    private val mostRequests = Math.ceil(settings.cloudLimits.rps).toInt().coerceAtLeast(LEAST_REQUESTS)
+
+    /** Whether wishes are left that a request under way keeps from being asked for. */
+    var hasWaitingWishes = false
+        private set
+
     private class Refusal(var untilMicros: Long, var times: Int)
 
     /** Whether the cloud's list has been seen. */
@@ -131,14 +138,17 @@
                 it.take(wish.job, left)
             }
         }
-        return requests.flatMap { (offer, number) -> requests(offer, number) }.onEach { pendingRents[it.requestId] = it }
+        val calls = requests.flatMap { (offer, number) -> callSizes(number).map { offer to it } }
+        val free = (mostRequests - pendingRents.size).coerceAtLeast(0)
+        hasWaitingWishes = calls.size > free
+        return calls.take(free).map { (offer, number) -> request(offer, number) }.onEach { pendingRents[it.requestId] = it }
     }
 
-    /** As many requests of the largest number allowed as [number] needs, within what the cloud takes at a time. */
-    private fun requests(offer: MachineShape, number: Int): List<RentRequest> =
-        (0 until number step MAX_NUMBER).take(MOST_CALLS_AN_OFFER).map { from ->
-            RentRequest("r-$fencingToken-${++requestCount}", offer.type.name, offer.zone, offer.spot, minOf(number - from, MAX_NUMBER))
-        }
+    /** [number] in parts that the cloud takes in one request. */
+    private fun callSizes(number: Int): List<Int> = (0 until number step MAX_NUMBER).map { from -> minOf(number - from, MAX_NUMBER) }
+
+    private fun request(offer: MachineShape, number: Int): RentRequest =
+        RentRequest("r-$fencingToken-${++requestCount}", offer.type.name, offer.zone, offer.spot, number)
 
     /** Rented machines of one shape, as room that wishes take from. */
     private class Supply(val shape: MachineShape) {
@@ -234,7 +244,7 @@
         const val LEAST_WISH = 0.5
         const val EPSILON = 1e-6
         const val MAX_NUMBER = 50
-        const val MOST_CALLS_AN_OFFER = 4
+        const val LEAST_REQUESTS = 2
         const val OVERDUE_BOOTS = 2
     }
 }
--- a/src/main/kotlin/linemast/leadership/CloudOperations.kt
+++ b/src/main/kotlin/linemast/leadership/CloudOperations.kt
@@ -6,6 +6,7 @@
 import linemast.cloud.Cloud
 import linemast.cloud.CloudException
 import linemast.cloud.Fleet
+import linemast.cloud.MACHINES_A_LIST_CALL
 import linemast.cloud.RentRequest
 import linemast.cloud.RentResult
 import linemast.placement.Cluster
@@ -30,6 +31,7 @@
     private val provisioner: Provisioner,
     private val fleetStore: FleetStore,
     private val standingFleetStore: StandingFleetStore,
+    private val callsPerSecond: Double,
     /** Runs an action on the coroutine that owns the cluster state. */
     private val onLeaderLoop: suspend (() -> Unit) -> Unit,
 ) {
@@ -52,10 +54,16 @@
             } catch (e: StoreException) {
                 log.debug("standing fleet: {}", e.message)
             }
-            delay(LIST_MILLIS)
+            delay(listPeriodMillis(fleet.machines.size))
         }
     }
 
+    /** Listing a large fleet takes several calls: so many that rentals and returns keep the greater part of what the cloud takes. */
+    private fun listPeriodMillis(machines: Int): Long {
+        val calls = machines / MACHINES_A_LIST_CALL + 1
+        return maxOf(LIST_MILLIS, (calls * SECOND_MILLIS / (callsPerSecond * LIST_SHARE)).toLong())
+    }
+
     private suspend fun learnStandingFleet() {
         val names = standingFleetStore.learn() ?: return
         onLeaderLoop {
@@ -78,7 +86,10 @@
             if (result != RentResult.Unknown) return onLeaderLoop { rented(request, result) }
             delay(RETRY_MILLIS)
         }
-        onLeaderLoop { fleet.gaveUp(request) }
+        onLeaderLoop {
+            fleet.gaveUp(request)
+            provisioner.adjustSoon()
+        }
     }
 
     private suspend fun tryRent(request: RentRequest): RentResult = try {
@@ -92,7 +103,7 @@
         val now = clock.nowMicros()
         val granted = (result as? RentResult.Rented)?.names
         if (granted == null) fleet.refused(request, cluster.types, now) else fleet.rented(request, granted, cluster.types, now)
-        if ((granted?.size ?: 0) < request.number) provisioner.adjustSoon()
+        if ((granted?.size ?: 0) < request.number || fleet.hasWaitingWishes) provisioner.adjustSoon()
     }
 
     private fun giveBack(names: List<String>) {
@@ -122,6 +133,10 @@
 
     private companion object {
         const val LIST_MILLIS = 3_000L
+        const val SECOND_MILLIS = 1_000L
+
+        /** Of the calls that the cloud takes, for its list. */
+        const val LIST_SHARE = 0.25
         const val RETRY_MILLIS = 1_000L
         const val RENT_TRIES = 5
     }
--- a/src/main/kotlin/linemast/leadership/Leader.kt
+++ b/src/main/kotlin/linemast/leadership/Leader.kt
@@ -86,7 +86,19 @@
         settings.cloudLimits.listLagMicros,
     )
     private val cloudOperations =
-        CloudOperations(cloud, clock, scope, authority, cluster, fleet, provisioner, fleetStore, standingFleetStore, events::send)
+        CloudOperations(
+            cloud,
+            clock,
+            scope,
+            authority,
+            cluster,
+            fleet,
+            provisioner,
+            fleetStore,
+            standingFleetStore,
+            settings.cloudLimits.rps,
+            events::send,
+        )
     private val usageLog = UsageLog(cluster, fleet)
     private val planStore = PlanStore(store, scope, authority, planner, limits.mostValueBytes, wallMicros)
     private val storedJobs: StoredJobs =
--- a/src/test/kotlin/linemast/size/FleetPlay.kt
+++ b/src/test/kotlin/linemast/size/FleetPlay.kt
@@ -133,6 +133,7 @@
                     addWorker(type, request.zone, request.spot, (type.startupMicros * (0.6 + 0.9 * random.nextDouble())).toLong())
                 }
                 if (names.isEmpty()) fleet.refused(request, cluster.types, now) else fleet.rented(request, names, cluster.types, now)
+                if (names.size < request.number || fleet.hasWaitingWishes) provisioner.adjustSoon()
             }
         }
         if (actions.returns.isNotEmpty()) {
