--- a/src/main/kotlin/linemast/leadership/Leader.kt
+++ b/src/main/kotlin/linemast/leadership/Leader.kt
@@ -143,6 +143,13 @@
         authority.abdicate()
     }
 
+    /** Attempt numbers belong to a fencing token: with the next one there are as many again. */
+    private fun leaveIfAttemptsAreUsedUp() {
+        if (!cluster.attemptNumbers.isNearlyExhausted || authority.abdicated) return
+        log.info("attempt numbers are nearly used up: giving the leadership away")
+        authority.abdicate()
+    }
+
     /** Another controller knows of [fencingToken]. Once all others know this term's, no earlier one can go on. */
     fun peerKnows(node: String, fencingToken: Long) {
         if (fencingToken < authority.fencingToken || !peersKnowing.add(node)) return
@@ -182,6 +189,7 @@
         val now = clock.nowMicros()
         if (!authority.mayCommand(now)) return
         leaveIfWorkersAreLost(now)
+        leaveIfAttemptsAreUsedUp()
         pipelines.step()
         cluster.tick(now)
         usageLog.step(now)
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -52,7 +52,7 @@
         override fun add(element: String): Boolean = super.add(element).also { if (size > MOST_RETURNED) remove(first()) }
     }
 
-    private var attempts = 0L
+    internal val attemptNumbers = AttemptNumbers(fencingToken)
     val usage = TeamUsage(settings.teams)
     private val placer = Placer(this, settings)
 
@@ -73,9 +73,6 @@
     /** Whether every task that an earlier leader started has been seen or is surely gone. */
     val settled: Boolean get() = takeover.isSettled
 
-    /** An attempt number that no leader has used before. */
-    fun nextAttempt(): Long = fencingToken * ATTEMPTS_PER_TOKEN + ++attempts
-
     /** Takes what the store held; reports count from [nowMicros] on. */
     fun load(records: List<Pair<OpenRecord, Long>>, recorded: List<Machine>, nowMicros: Long) {
         for ((record, version) in records) add(record, version, inherited = record.opened)
@@ -157,10 +154,14 @@
     /** The start of [placement] has left in an answer. */
     internal fun commandSent(placement: Placement) {
         chosen -= placement
+        attemptNumbers.use(placement.attempt)
     }
 
     /** Choices whose command has not left may be dropped at will. */
-    fun forgetChoices() = chosen.toList().forEach(::remove)
+    fun forgetChoices() {
+        chosen.toList().forEach(::remove)
+        attemptNumbers.forgetUnused()
+    }
 
     /** Has a task stopped with the next answer to its machine. */
     fun stop(placement: Placement, reason: String, gracePeriodMicros: Long) {
@@ -296,7 +297,6 @@
     }
 
     private companion object {
-        const val ATTEMPTS_PER_TOKEN = 1L shl 24
         const val PASS_MICROS = 100_000L
 
         /** A pass is followed by at least this many times its own span without one. */
@@ -305,7 +305,9 @@
 
         /** Most are lost if less than one in this many is heard. */
         const val MOSTLY = 4
-        const val MOST_RETURNED = 5_000
+
+        /** Late reports come minutes late at most; so many are four times the machines of the largest fleet. */
+        const val MOST_RETURNED = 24_000
         const val PROGRESS_MICROS = 5_000_000L
         const val FORGET_MICROS = 30_000_000L
     }
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -179,7 +179,7 @@
         var placed = 0
         var index = job.nextPending(0)
         while (placed < most && index >= 0 && machine.fits(job) && places.allows(machine.zone)) {
-            pass.place(cluster.addAssigned(machine, job, index, cluster.nextAttempt())).spared = job.waitsLong
+            pass.place(cluster.addAssigned(machine, job, index, cluster.attemptNumbers.next())).spared = job.waitsLong
             places.add(machine.zone)
             placed++
             index = job.nextPending(index + 1)
@@ -192,7 +192,8 @@
         if (job.placements.isNotEmpty()) return !job.gangRan && job.placements.all { it.attempt == job.gangAttempt }
         job.gangRan = false
         if (job.gangAttempt == 0L || job.gangAttemptUsed) {
-            job.gangAttempt = cluster.nextAttempt()
+            // Kept until the gang can start as a whole, however many passes that takes.
+            job.gangAttempt = cluster.attemptNumbers.next().also(cluster.attemptNumbers::use)
             job.gangAttemptUsed = false
         }
         return true
--- a/src/main/kotlin/linemast/planning/Policy.kt
+++ b/src/main/kotlin/linemast/planning/Policy.kt
@@ -24,6 +24,8 @@
         private const val IDLE_RETURN_MICROS = 25 * SECOND_MICROS
         private const val OWNED_IDLE_MICROS = 1_800 * SECOND_MICROS
         private const val LEADER_LEASE_MICROS = 4 * SECOND_MICROS
-        private const val MOST_RENTED_VCPUS = 100_000.0
+
+        /** Beyond any fleet: 6,000 machines of 128 vcpus are 768,000. What jobs and their teams' limits ask for bounds it. */
+        private const val MOST_RENTED_VCPUS = 1_000_000.0
     }
 }
--- a/src/main/kotlin/linemast/wire/HttpServer.kt
+++ b/src/main/kotlin/linemast/wire/HttpServer.kt
@@ -12,27 +12,35 @@
  * Serves requests on one address, a coroutine per connection.
  *
  * At most [maxConnections] are open at a time, so that users and workers cannot use up the sockets
- * the controller needs for the store, the cloud and its peers.
+ * the controller needs for the store, the cloud and its peers. With more clients than that, a new connection
+ * takes the place of the one that has been idle for longest.
  */
 class HttpServer(loop: EventLoop, address: Address, maxConnections: Int, private val handler: suspend (HttpRequest) -> HttpResponse) {
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
-    private val listener = Listener(loop, address, maxConnections)
+    private val listener = Listener(loop, address, maxConnections, ::closeLongestIdle)
 
     /** Connections by when they last began or ended a request: one sweep for all is cheaper than a timer for each. */
     private val lastUsedMicros = HashMap<Connection, Long>()
 
+    /** Connections that wait for a request, the longest idle first. */
+    private val idle = LinkedHashSet<Connection>()
+
     /** Accepts connections until [scope] is cancelled. */
     suspend fun serve(scope: CoroutineScope, onListening: () -> Unit = {}) {
         scope.launch { sweep() }
         listener.serve(scope, onListening) { connection ->
             try {
-                do lastUsedMicros[connection] = SteadyClock.nowMicros() while (serveRequest(connection))
+                do {
+                    lastUsedMicros[connection] = SteadyClock.nowMicros()
+                    idle += connection
+                } while (serveRequest(connection))
             } catch (e: CancellationException) {
                 throw e
             } catch (e: Exception) {
                 log.debug("connection ended: {}", e.toString())
             } finally {
                 lastUsedMicros.remove(connection)
+                idle -= connection
             }
         }
     }
@@ -46,10 +54,20 @@
         }
     }
 
+    /** Its client connects again with the next request. One that has begun to send a request is left alone. */
+    private fun closeLongestIdle(): Boolean {
+        val longest = idle.firstOrNull { it.isAtRest() } ?: return false
+        idle -= longest
+        longest.close()
+        return true
+    }
+
     /** One request and its response; false when the connection is to be closed. */
     private suspend fun serveRequest(connection: Connection): Boolean {
         val head = try {
-            parseRequest(ByteReadChannel(readHead(connection) ?: return false))
+            val head = readHead(connection) ?: return false
+            idle -= connection
+            parseRequest(ByteReadChannel(head))
         } catch (e: CancellationException) {
             throw e
         } catch (e: java.io.IOException) {
--- a/src/main/kotlin/linemast/wire/Listener.kt
+++ b/src/main/kotlin/linemast/wire/Listener.kt
@@ -6,7 +6,13 @@
 import kotlinx.coroutines.launch
 
 /** Accepts connections on one address, a coroutine for each, at most [maxConnections] at a time. */
-class Listener(private val loop: EventLoop, private val address: Address, private val maxConnections: Int) {
+class Listener(
+    private val loop: EventLoop,
+    private val address: Address,
+    private val maxConnections: Int,
+    /** Closes a connection that can be done without when a new one comes and all are taken; false if there is none. */
+    private val makeRoom: () -> Boolean = { false },
+) {
     private var open = 0
 
     /** Accepts connections until [scope] is cancelled, and runs [onConnection] for each. */
@@ -20,7 +26,7 @@
         listener.use {
             while (scope.isActive) {
                 val socket = listener.accept()
-                if (open >= maxConnections) {
+                if (open >= maxConnections && !makeRoom()) {
                     socket.close()
                     continue
                 }
--- a/src/test/kotlin/linemast/wire/HttpServerTest.kt
+++ b/src/test/kotlin/linemast/wire/HttpServerTest.kt
@@ -45,12 +45,42 @@
         assertEquals("", answers[1])
     }
 
+    @Test
+    fun `with all connections taken a new one takes the place of the longest idle, never of one with a request under way`() {
+        val answers = serve { port ->
+            val busy = Socket("127.0.0.1", port).also { it.getOutputStream().write("POST /echo HTTP/1.1\r\nContent-".toByteArray()) }
+            val kept = List(MAX_CONNECTIONS - 1) { Socket("127.0.0.1", port) }
+            // Each has been served once, so that all are known to be open, the first one for longest.
+            kept.forEach { request(it, "POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\na") }
+            val later = exchange(port, "POST /echo HTTP/1.1\r\nContent-Length: 1\r\nConnection: close\r\n\r\nb")
+            val first = kept.first().getInputStream().read()
+            val last = request(kept.last(), "POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nc")
+            val begun = request(busy, "Length: 1\r\n\r\nd")
+            (kept + busy).forEach(Socket::close)
+            listOf(later.substringAfter("\r\n\r\n"), first.toString(), last, begun)
+        }
+        assertEquals(listOf("b", "-1", "c", "d"), answers)
+    }
+
+    /** Sends [text] and reads up to the end of the answer's body of one byte. */
+    private fun request(socket: Socket, text: String): String {
+        socket.getOutputStream().write(text.toByteArray())
+        val input = socket.getInputStream()
+        val head = StringBuilder()
+        while (!head.endsWith("\r\n\r\n")) {
+            val next = input.read()
+            if (next < 0) return "closed"
+            head.append(next.toChar())
+        }
+        return input.read().toChar().toString()
+    }
+
     private fun <T> serve(talk: (Int) -> T): T {
         val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
         return EventLoop().use { loop ->
             loop.run {
                 val listening = CompletableDeferred<Unit>()
-                val server = HttpServer(loop, Address("127.0.0.1", port), 10) { request ->
+                val server = HttpServer(loop, Address("127.0.0.1", port), MAX_CONNECTIONS) { request ->
                     when (request.path) {
                         "/malformed" -> throw MalformedException("test")
                         "/broken" -> error("test")
@@ -69,4 +99,8 @@
         socket.shutdownOutput()
         String(socket.getInputStream().readAllBytes())
     }
+
+    private companion object {
+        const val MAX_CONNECTIONS = 10
+    }
 }
