--- a/src/test/kotlin/linemast/size/FleetPlay.kt
+++ b/src/test/kotlin/linemast/size/FleetPlay.kt
@@ -36,13 +36,11 @@
     private val types: List<MachineType>,
     standing: List<Pair<MachineType, String>>,
     private val seed: Int,
+    private val mostMachines: Int = 1_450,
 ) {
     private val random = Random(seed)
     private var number = 0L
     private val queue = PriorityQueue<Event>()
-    private val times = TaskTimes()
-    private val planner = Planner(settings, Policy(), times)
-    private val fleet = Fleet(settings, Policy(), FENCING_TOKEN)
     private val workers = LinkedHashMap<String, PlayWorker>()
     var now = 1_000_000L
         private set
@@ -79,8 +77,36 @@
 
         override fun dropCancelled(job: Job) = Unit
     }
-    val cluster: Cluster = Cluster(settings, FENCING_TOKEN, 10_000_000L, effects, times, planner, { now }, { now })
-    private val provisioner = Provisioner(cluster, fleet, planner, Policy())
+
+    /** All that a leader holds in memory; a take-over begins with another one. */
+    private inner class LeaderState(val fencingToken: Long) {
+        private val times = TaskTimes()
+        private val planner = Planner(settings, Policy(), times)
+        val fleet = Fleet(settings, Policy(), fencingToken)
+        val cluster: Cluster = Cluster(settings, fencingToken, GRACE_MICROS, effects, times, planner, { now }, { now })
+        val provisioner = Provisioner(cluster, fleet, planner, Policy())
+    }
+
+    private var leader = LeaderState(FIRST_FENCING_TOKEN)
+    val cluster: Cluster get() = leader.cluster
+    private val fleet: Fleet get() = leader.fleet
+    private val provisioner: Provisioner get() = leader.provisioner
+
+    /** Another controller leads from now on; it knows what the store holds, and nothing else. */
+    fun takeOver() {
+        val before = leader
+        leader = LeaderState(before.fencingToken + 1)
+        cluster.types = before.cluster.types
+        val open = before.cluster.jobs.values.filter { !it.finished }
+        cluster.load(
+            open.map { OpenRecord(it.spec, it.acceptedWallMicros, opened = it.opened == Job.Opened.YES, cancelled = false) to 1L },
+            before.cluster.machines.values.filter { it.onRecord }.map { Machine(it.name, it.type, it.zone, it.spot) },
+            now,
+        )
+        for (job in open) job.done.stream().forEach { cluster.jobs.getValue(job.id).markDone(it) }
+        fleet.standing = before.fleet.standing
+        fleet.standing?.let(cluster::markOwned)
+    }
 
     private class Event(val atMicros: Long, val number: Long, val action: () -> Unit) : Comparable<Event> {
         override fun compareTo(other: Event) = compareValuesBy(this, other, { it.atMicros }, { it.number })
@@ -129,7 +155,7 @@
         for (request in actions.rentals) {
             at(120_000) {
                 val type = types.first { it.name == request.machineType }
-                val names = List(minOf(request.number, MOST_MACHINES - workers.size).coerceAtLeast(0)) {
+                val names = List(minOf(request.number, mostMachines - workers.size).coerceAtLeast(0)) {
                     addWorker(type, request.zone, request.spot, (type.startupMicros * (0.6 + 0.9 * random.nextDouble())).toLong())
                 }
                 if (names.isEmpty()) fleet.refused(request, cluster.types, now) else fleet.rented(request, names, cluster.types, now)
@@ -240,8 +266,8 @@
                 tasks.values.map { TaskReport(it.task, it.attempt, it.status, it.cause, false) },
             )
             val commands = measured("report") { cluster.report(report, now) }.orEmpty()
-            if (fencingToken != FENCING_TOKEN) changed()
-            fencingToken = FENCING_TOKEN
+            if (fencingToken != leader.fencingToken) changed()
+            fencingToken = leader.fencingToken
             commands.forEach(::execute)
             val period = settings.workers.reportMicros
             reportAt(now + period * 3 / 4 + random.nextLong(period / 2))
@@ -268,8 +294,8 @@
     }
 
     companion object {
-        const val FENCING_TOKEN = 5L
-        private const val MOST_MACHINES = 1_450
+        private const val FIRST_FENCING_TOKEN = 5L
+        private const val GRACE_MICROS = 10_000_000L
 
         fun spec(
             id: String,
--- /dev/null
+++ b/src/test/kotlin/linemast/size/LargeFleetTest.kt
@@ -0,0 +1,102 @@
+package linemast.size
+
+import linemast.cloud.MachineType
+import linemast.settings.SettingsReader
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** The leader's decisions for thousands of machines; printed figures are for comparison, counts are asserted. */
+class LargeFleetTest {
+    @Test
+    fun `4,000 machines, a tenth of which die, a take-over, and a job of 100,000 tasks to its end`() = play(machines = 4_000)
+
+    private fun play(machines: Int) {
+        val seed = 31
+        val random = Random(seed)
+        val standing = List(machines * 3 / 4) { SMALL to ZONES[it % ZONES.size] }
+        val play = FleetPlay(settings(machines), listOf(SMALL, LARGE), standing, seed, mostMachines = machines)
+        var submitted = 0
+        fun id() = "req-%06d".format(submitted++)
+        val largest = FleetPlay.spec(id(), "sweeps", "t1", false, 100_000, 1.0, 0.5, "s0", 2.0, 100.0)
+        play.playUntil(5_000_000)
+        play.submit(largest, 2_000_000)
+        for (second in 5 until SECONDS) {
+            play.playUntil(second * 1_000_000L)
+            if (second % 3 == 0) {
+                val tasks = random.nextInt(1, 12)
+                val team = TEAMS.random(random)
+                play.submit(FleetPlay.spec(id(), "gangs", team, true, tasks, 6.0, 8.0, "g${random.nextInt(5)}", 20.0, null), 20_000_000)
+            }
+            if (second < LAST_ARRAYS && second % 2 == 0) {
+                val tasks = random.nextInt(100, 800)
+                val team = TEAMS.random(random)
+                play.submit(FleetPlay.spec(id(), "sweeps", team, false, tasks, 2.0, 2.0, "s${random.nextInt(8)}", 20.0, 90.0), 20_000_000)
+            }
+            if (second == DEATHS) play.killRandom(machines / 10)
+            if (second == TAKE_OVER) play.takeOver()
+        }
+        println("seed $seed: ${play.starts.size} starts, ${play.lost} lost, ${play.doneJobs.size} of $submitted jobs done")
+        println(
+            "decisions took, in ms: ${play.spent.mapValues {
+                it.value / 1_000_000
+            }}, ${play.longest.mapValues { it.value / 1_000_000 }}",
+        )
+        assertEquals(emptyList<String>(), play.broken)
+        assertTrue(largest.id in play.doneJobs, "the job of 100,000 tasks is not done")
+        assertTrue(play.doneJobs.size > submitted * 3 / 4, "no more than ${play.doneJobs.size} of $submitted jobs are done")
+    }
+
+    private fun settings(machines: Int) = SettingsReader.parse(
+        """
+        node_name = "mast-0"
+        domain = "a"
+        serve_on = "10.0.0.1:8080"
+        peer_listen = "10.0.0.1:8081"
+        [external]
+        cloud = "10.2.0.2:1"
+        state = "10.2.0.1:1"
+        [settings]
+        zones = ["a", "b", "c", "d"]
+        clock_off_ms = 0.0
+        teams = [${TEAMS.joinToString {
+            """{ name = "$it", cpus = ${machines * 2}.0, cpus_max = ${machines * 8}.0, gpus = 0.0, gpus_max = 0.0 }"""
+        }}]
+        objectives = [
+          { kind = "wait", class = "gangs", within_s = 30.0, share = 0.9 },
+          { kind = "deadline", class = "sweeps", share = 0.9, times = 1.0 },
+          { kind = "guarantee", within_s = 20.0, share = 0.9 },
+        ]
+        [settings.workers]
+        report_s = 2.5
+        lease_s = 14.0
+        gang_wait_s = 50.0
+        gang_peer_s = 8.0
+        cancel_s = 44.0
+        [settings.state]
+        rps = 1400.0
+        write_rps = 210.0
+        value_kb = 16.0
+        txn_ops = 24
+        [settings.cloud]
+        rps = 14.0
+        list_lag_s = 10.0
+        [settings.limits]
+        cpu_share = 1.0
+        mem_mb = 1800.0
+        fd_limit = 10500
+        """.trimIndent(),
+    )
+
+    private companion object {
+        const val SECONDS = 150
+        const val LAST_ARRAYS = 90
+        const val DEATHS = 40
+        const val TAKE_OVER = 60
+        val ZONES = listOf("a", "b", "c", "d")
+        val TEAMS = listOf("t1", "t2", "t3")
+        val SMALL = MachineType("small", 8.0, 0.0, 16.0, 50.0, 0.2, 0.42, 0.1, 25_000_000, ZONES)
+        val LARGE = MachineType("large", 32.0, 0.0, 64.0, 50.0, 0.2, 1.7, 0.4, 30_000_000, ZONES)
+    }
+}
