--- a/src/main/kotlin/linemast/leadership/StoredJobs.kt
+++ b/src/main/kotlin/linemast/leadership/StoredJobs.kt
@@ -91,7 +91,7 @@
 
     /** Starts watching what [load] has read. */
     fun watch(scope: CoroutineScope) {
-        scope.launch { watchPrefix(JobKeys.OPEN_PREFIX, openRevision, OPEN_WATCH_MICROS, ::openChanged, ::openListed) }
+        scope.launch { watchPrefix(JobKeys.OPEN_PREFIX, openRevision, OPEN_WATCH_MICROS, ::openChanged, ::openListed, knowledge::readAt) }
         scope.launch { watchPrefix(JobKeys.WAITING_PREFIX, waitingRevision, WAITING_WATCH_MICROS, ::waitingChanged, ::waitingListed) }
     }
 
@@ -99,8 +99,10 @@
         prefix: String,
         firstRevision: Long,
         waitMicros: Long,
-        onChanges: (List<Change>, Long) -> Unit,
-        onListed: (Page, Long) -> Unit,
+        onChanges: (List<Change>) -> Unit,
+        onListed: (Page) -> Unit,
+        /** Told when the call was sent whose answer has been taken. */
+        onRead: (Long) -> Unit = {},
     ) {
         var revision = firstRevision
         while (true) {
@@ -108,12 +110,18 @@
                 val sentMicros = clock.nowMicros()
                 when (val result = store.watch(prefix, revision, waitMicros)) {
                     is WatchResult.Changes -> {
-                        onLeaderLoop { onChanges(result.changes, sentMicros) }
+                        onLeaderLoop {
+                            onChanges(result.changes)
+                            onRead(sentMicros)
+                        }
                         revision = maxOf(revision, result.revision)
                     }
                     WatchResult.TooOld -> {
                         val page = store.listAll(prefix)
-                        onLeaderLoop { onListed(page, sentMicros) }
+                        onLeaderLoop {
+                            onListed(page)
+                            onRead(sentMicros)
+                        }
                         revision = page.revision
                     }
                 }
@@ -124,20 +132,13 @@
         }
     }
 
-    private fun openChanged(changes: List<Change>, sentMicros: Long) {
-        changes.forEach(::openChanged)
-        knowledge.readAt(sentMicros)
-    }
+    private fun openChanged(changes: List<Change>) = changes.forEach(::openChanged)
 
-    private fun openListed(page: Page, sentMicros: Long) {
-        page.items.forEach { cluster.putJob(OpenRecord.read(it), it.version) }
-        knowledge.readAt(sentMicros)
-    }
+    private fun openListed(page: Page) = page.items.forEach { cluster.putJob(OpenRecord.read(it), it.version) }
 
-    private fun waitingChanged(changes: List<Change>, @Suppress("UNUSED_PARAMETER") sentMicros: Long) =
-        changes.forEach(pipelines()::changed)
+    private fun waitingChanged(changes: List<Change>) = changes.forEach(pipelines()::changed)
 
-    private fun waitingListed(page: Page, @Suppress("UNUSED_PARAMETER") sentMicros: Long) = pipelines().reload(page.items)
+    private fun waitingListed(page: Page) = pipelines().reload(page.items)
 
     /** Takes a change of an open job's record. */
     fun openChanged(change: Change) {
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -48,9 +48,7 @@
     private var owned: Set<String> = emptySet()
 
     /** Machines of which the cloud has confirmed that they are gone; names are never used again. */
-    private val returned = object : LinkedHashSet<String>() {
-        override fun add(element: String): Boolean = super.add(element).also { if (size > MOST_RETURNED) remove(first()) }
-    }
+    private val returned = LinkedHashSet<String>()
 
     internal val attemptNumbers = AttemptNumbers(fencingToken)
     val usage = TeamUsage(settings.teams)
@@ -289,10 +287,11 @@
     /** The cloud has confirmed that these are gone. */
     fun returned(names: Collection<String>) {
         for (name in names) {
-            returned.add(name)
+            returned += name
             val machine = machines.remove(name) ?: continue
             machine.placements.values.toList().forEach(::remove)
         }
+        while (returned.size > MOST_RETURNED) returned.remove(returned.first())
         dirty = true
     }
 
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -54,10 +54,7 @@
         // others' bookings would take the room again that tasks were stopped to make.
         for (job in ready) {
             if (job.spec.isGang) {
-                placeGang(
-                    job,
-                    pass,
-                )
+                placeGang(job, pass)
             } else {
                 placeArray(job, if (job.guaranteed) Int.MAX_VALUE else cluster.bookings(job), pass)
             }
--- a/src/main/kotlin/linemast/planning/Planner.kt
+++ b/src/main/kotlin/linemast/planning/Planner.kt
@@ -24,8 +24,6 @@
     val topUp: Double,
     /** When the job has to end, as known when planned. */
     val deadlineWallMicros: Long = Long.MAX_VALUE,
-    /** From planning to when the job can start. */
-    val startsInMicros: Long = 0L,
     /** How long the job runs for by this plan, once it can start. */
     val spanMicros: Long = 0L,
 ) {
@@ -46,7 +44,11 @@
         /** How many tasks one place runs, one after another, in [spanMicros]. */
         fun slots(spanMicros: Long, taskMicros: Long): Double = (spanMicros.toDouble() / taskMicros).coerceAtLeast(MIN_SLOTS)
 
+        /** The longest time over which rented machines are planned to work on one job. */
+        fun longestRentedSpanMicros(intervalMicros: Long, taskMicros: Long): Long = maxOf(RENTED_INTERVALS * intervalMicros, taskMicros)
+
         private const val MIN_SLOTS = 0.05
+        private const val RENTED_INTERVALS = 2L
     }
 }
 
@@ -185,12 +187,12 @@
     /**
      * Over which time rented machines work on a job, given what its deadline leaves of it after a boot.
      *
-     * No longer than [RENTED_INTERVALS]: machines are paid by the second, so that a longer span saves nothing, and work put off to
-     * its deadline leaves no time for what comes later. What no rented machine can end in time is not worth one for
-     * each task: it gets the whole span.
+     * No longer than [JobPlan.longestRentedSpanMicros]: machines are paid by the second, so that a longer span saves
+     * nothing, and work put off to its deadline leaves no time for what comes later. What no rented machine can end in
+     * time is not worth one for each task: it gets the whole span.
      */
     private fun rentedSpanMicros(leftMicros: Long, taskMicros: Long): Long {
-        val longest = maxOf(RENTED_INTERVALS * policy.longIntervalMicros, taskMicros)
+        val longest = JobPlan.longestRentedSpanMicros(policy.longIntervalMicros, taskMicros)
         return if (leftMicros < taskMicros) longest else minOf(leftMicros, longest)
     }
 
@@ -245,6 +247,5 @@
     private companion object {
         const val INTERVALS = 10
         const val IMPLIED_RUNS = 3
-        const val RENTED_INTERVALS = 2L
     }
 }
--- a/src/main/kotlin/linemast/planning/Provisioner.kt
+++ b/src/main/kotlin/linemast/planning/Provisioner.kt
@@ -36,11 +36,9 @@
         if (fleet.standing == null) return NOTHING
         if (!cluster.settled) return CloudActions(emptyList(), absentAtTakeOver(nowMicros))
         demand.watch(nowMicros)
-        val stages = cluster.waitingStages
-        val hasNewStages = stages.any { it.job.id !in plannedAheadIds } || cluster.jobs.values.any(planner::isOutdated)
         val arrived = cluster.jobs.values.count { it.id !in known && !it.cancelled && !it.finished }
         // New jobs are planned at once, but together: each plan takes stock of the whole fleet.
-        val fresh = (arrived > 0 || hasNewStages) && isDue(freshMicros, FRESH_MICROS, nowMicros)
+        val fresh = isDue(freshMicros, FRESH_MICROS, nowMicros) && (arrived > 0 || hasNewOrChangedStages())
         val whole = isDue(plannedMicros, policy.longIntervalMicros, nowMicros)
         if (!fresh && !whole && !isDue(adjustedMicros, policy.shortIntervalMicros, nowMicros)) return NOTHING
         val jobs = JobOrder.sorted(cluster.jobs.values, cluster.usage, planner, wallMicros).map { it.job }
@@ -53,6 +51,9 @@
         return adjustRentals(jobs + plannedAhead.filter { it.startsInMicros <= bootAheadMicros(it.job) }.map { it.job }, nowMicros)
     }
 
+    private fun hasNewOrChangedStages(): Boolean =
+        cluster.waitingStages.any { it.job.id !in plannedAheadIds } || cluster.jobs.values.any(planner::isOutdated)
+
     private fun isDue(lastMicros: Long, periodMicros: Long, nowMicros: Long): Boolean =
         lastMicros == Long.MIN_VALUE || nowMicros - lastMicros >= periodMicros
 
--- a/src/main/kotlin/linemast/planning/StagePlanner.kt
+++ b/src/main/kotlin/linemast/planning/StagePlanner.kt
@@ -41,7 +41,7 @@
         }
         val toRent = (tasks - owned.sum()).coerceAtLeast(0.0)
         val window = end - maxOf(stage.startsInMicros, bootMicros)
-        val span = if (window < task) maxOf(LATE_INTERVALS * intervalMicros, task) else window
+        val span = if (window < task) JobPlan.longestRentedSpanMicros(intervalMicros, task) else window
         val neighbourSpan = neighbour?.spanMicros?.takeIf { it > 0 } ?: span
         val usedSpan = minOf(span, maxOf(neighbourSpan, task))
         val rounds = Math.floor(usedSpan.toDouble() / task).coerceAtLeast(1.0)
@@ -49,7 +49,7 @@
         rented[(stage.startsInMicros / intervalMicros).toInt().coerceIn(0, intervals - 1)] = toRent
         return JobPlan(
             nowMicros, intervalMicros, task, owned, rented, rentedSlots = toRent / rounds, backup = 0.0, doneThen = 0, topUp = 0.0,
-            deadlineWallMicros, stage.startsInMicros, spanMicros = (rounds * task).toLong(),
+            deadlineWallMicros, spanMicros = (rounds * task).toLong(),
         )
     }
 
@@ -68,8 +68,4 @@
     /** The part of interval [i] that lies in the window of [stage]. */
     private fun overlapMicros(stage: WaitingStage, end: Long, i: Int): Long =
         minOf(end, (i + 1) * intervalMicros) - maxOf(stage.startsInMicros, i * intervalMicros)
-
-    private companion object {
-        const val LATE_INTERVALS = 2
-    }
 }
--- /dev/null
+++ b/src/test/kotlin/linemast/leadership/StandingFleetStoreTest.kt
@@ -0,0 +1,53 @@
+package linemast.leadership
+
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import linemast.cloud.Cloud
+import linemast.cloud.ListedMachine
+import linemast.cloud.MachineType
+import linemast.cloud.RentRequest
+import linemast.cloud.RentResult
+import linemast.simulation.SimStore
+import linemast.state.Write
+import linemast.wire.Clock
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** The names of a standing fleet of any size are stored within what the store takes, and read back whole. */
+class StandingFleetStoreTest {
+    private class ListingCloud(private val names: List<String>) : Cloud {
+        override suspend fun types(): List<MachineType> = emptyList()
+
+        override suspend fun machines() = names.map { ListedMachine(it, "", "small", "z", false, "running", 0L) }
+
+        override suspend fun rent(request: RentRequest): RentResult = RentResult.NoCapacity
+
+        override suspend fun giveBack(names: List<String>) = Unit
+    }
+
+    @Test
+    fun `standing fleets of up to 6,000 machines fit the store's transactions of any permitted number of changes`() = runTest {
+        for (txnOps in listOf(2, 16, 24, 40)) {
+            for (machines in listOf(1, 200, 4_000, 6_000)) {
+                val names = List(machines) { "host-%06d".format(it + 998_000) }
+                val (store, learned) = learn(names, txnOps)
+                assertEquals(emptyList<String>(), store.tooLarge, "$machines machines, $txnOps changes")
+                assertEquals(names.toSet(), learned.first)
+                assertEquals(names.toSet(), learned.second, "as the next leader reads them")
+            }
+        }
+    }
+
+    private suspend fun TestScope.learn(names: List<String>, txnOps: Int): Pair<SimStore, Pair<Set<String>?, Set<String>?>> {
+        val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
+        val store = SimStore(backgroundScope, clock, Random(1))
+        store.txnOps = txnOps
+        store.valueBytes = 16 * 1024
+        val client = store.clientOf("mast-0")
+        client.commit(emptyList(), listOf(Write.Put(LeaderKeys.LEADER, emptyMap())))
+        val authority = Authority(1, version = 2, leaderLeaseMicros = 60_000_000, graceMicros = 0, sentMicros = 0)
+        fun fleet() = StandingFleetStore(client, ListingCloud(names), clock, authority, store.valueBytes, txnOps, 10_000_000)
+        return store to (fleet().learn() to fleet().learn())
+    }
+}
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -55,8 +55,9 @@
 
     private fun checkSize(writes: List<Write>) {
         val large = writes.filter { it is Write.Put && Cbor.jsonSize(it.value) > valueBytes }.map { it.key }
-        if (large.isEmpty() && writes.size <= txnOps) return
-        tooLarge += "$large, ${writes.size} operations"
+        val bytes = writes.sumOf { it.key.length + if (it is Write.Put) Cbor.jsonSize(it.value) else 0 }
+        if (large.isEmpty() && writes.size <= txnOps && bytes <= MOST_TRANSACTION_BYTES) return
+        tooLarge += "$large, ${writes.size} operations, $bytes bytes"
         throw StoreException("400", mayHaveRun = false)
     }
 
@@ -190,6 +191,7 @@
     }
 
     private companion object {
+        const val MOST_TRANSACTION_BYTES = 64 * 1024
         const val PAGE = 7
         const val WATCH_STEP_MILLIS = 25L
         const val WATCH_PATIENCE_MICROS = 5_000_000L
