A new connection never takes the bytes of a request that has just come to an idle one

With all connections taken the longest idle one gives way. Whether it was idle was asked by reading from it, and what was read was dropped: a request that had come and was not read yet was lost, its client waiting for an answer. Now what has been read tells. No test shows the race yet.

--- a/src/main/kotlin/linemast/wire/HttpServer.kt
+++ b/src/main/kotlin/linemast/wire/HttpServer.kt
@@ -54,9 +54,12 @@
         }
     }
 
-    /** Its client connects again with the next request. One that has begun to send a request is left alone. */
+    /**
+     * Its client connects again with the next request. One of whose request bytes have been read is left alone; to look for
+     * unread ones would take them from the coroutine that waits for them.
+     */
     private fun closeLongestIdle(): Boolean {
-        val longest = idle.firstOrNull { it.isAtRest() } ?: return false
+        val longest = idle.firstOrNull { it.available == 0 } ?: return false
         idle -= longest
         longest.close()
         return true
