--- a/src/main/kotlin/linemast/app/Controller.kt
+++ b/src/main/kotlin/linemast/app/Controller.kt
@@ -5,6 +5,7 @@
 import linemast.cloud.CloudClient
 import linemast.peers.PeerLinks
 import linemast.planning.Policy
+import linemast.settings.Features
 import linemast.settings.Settings
 import linemast.state.StoreClient
 import linemast.wire.EventLoop
@@ -15,7 +16,7 @@
 import org.slf4j.LoggerFactory
 
 /** One controller: a [Node] with its sockets, running until it is cancelled. */
-class Controller(private val settings: Settings, private val policy: Policy, private val loop: EventLoop) {
+class Controller(private val settings: Settings, private val policy: Policy, private val features: Features, private val loop: EventLoop) {
     private val log = LoggerFactory.getLogger(Controller::class.java)
 
     /** Serves until it is cancelled. */
@@ -31,6 +32,7 @@
             wallMicros = { System.currentTimeMillis() * 1_000 },
             scope = this,
             onLead = store::share,
+            features = features,
         )
         var handler: suspend (HttpRequest) -> HttpResponse = node::route
         if (log.isDebugEnabled) {
--- /dev/null
+++ b/src/main/kotlin/linemast/app/InspectionCommand.kt
@@ -0,0 +1,46 @@
+package linemast.app
+
+import linemast.duties.DutyInspection
+import linemast.duties.DutyReport
+import linemast.duties.DutySettings
+import linemast.settings.Settings
+import linemast.state.StoreClient
+import linemast.state.StoreException
+import linemast.wire.EventLoop
+import linemast.wire.MalformedException
+import linemast.wire.SteadyClock
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The command that reports on the latest actions at the cloud, from the store alone; no controller has to run. */
+internal class InspectionCommand(private val settings: Settings, private val duties: DutySettings, private val htmlFile: Path?) {
+    /** Prints the report and writes the page; the exit code of the process. */
+    fun run(): Int {
+        var report: DutyReport? = null
+        val loop = EventLoop()
+        try {
+            loop.run {
+                val store = StoreClient(loop, settings.state, settings.stateLimits, settings.controllers, SteadyClock)
+                report = DutyInspection(store, duties) { System.currentTimeMillis() * MICROS_PER_MILLI }.report()
+            }
+            val found = checkNotNull(report)
+            print(found.text())
+            htmlFile?.let { Files.writeString(it, found.html()) }
+            return if (found.hasViolations) EXIT_VIOLATIONS else 0
+        } catch (e: StoreException) {
+            System.err.println("linemast: the state service at ${settings.state}: ${e.message}")
+        } catch (e: MalformedException) {
+            System.err.println("linemast: a malformed record in the state service: ${e.message}")
+        } catch (e: IOException) {
+            System.err.println("linemast: $htmlFile: ${e.message}")
+        }
+        return EXIT_FAILED
+    }
+
+    private companion object {
+        const val EXIT_FAILED = 1
+        const val EXIT_VIOLATIONS = 4
+        const val MICROS_PER_MILLI = 1_000L
+    }
+}
--- a/src/main/kotlin/linemast/app/Main.kt
+++ b/src/main/kotlin/linemast/app/Main.kt
@@ -1,6 +1,8 @@
 package linemast.app
 
+import linemast.duties.DutySettings
 import linemast.planning.Policy
+import linemast.settings.Features
 import linemast.settings.PolicyScript
 import linemast.settings.Settings
 import linemast.settings.SettingsException
@@ -47,6 +49,15 @@
         OptionSpec.builder("--policy").paramLabel("FILE").type(Path::class.java)
             .description("The operators' own settings (Lua); see docs/operations.md.").build(),
     )
+    spec.addOption(
+        OptionSpec.builder("--duties").paramLabel("FILE").type(Path::class.java)
+            .description("Enables single-holder duties (TOML); see docs/operating-duties.md.").build(),
+    )
+    spec.addOption(flag("--actions", "Print the latest actions at the cloud from the store, audited, and exit."))
+    spec.addOption(
+        OptionSpec.builder("--actions-html").paramLabel("FILE").type(Path::class.java)
+            .description("With --actions: also write them as an HTML page.").build(),
+    )
     spec.addOption(flag("--rehearse", "Run the usual paths once on loopback and exit; the build makes its class-data archive so."))
     spec.addOption(OptionSpec.builder("--help", "-h").usageHelp(true).description("Show this help.").build())
     spec.addOption(OptionSpec.builder("--version").versionHelp(true).description("Show the version.").build())
@@ -73,8 +84,10 @@
     }
     val settings: Settings
     val policy: Policy
+    val features: Features
     try {
         settings = SettingsReader.read(file)
+        features = Features(duties = parsed.matchedOptionValue<Path?>("--duties", null)?.let(DutySettings::read))
         policy = parsed.matchedOptionValue<Path?>("--policy", null)?.let(PolicyScript::read) ?: Policy()
     } catch (e: SettingsException) {
         System.err.println("linemast: ${e.message}")
@@ -84,7 +97,11 @@
         println("$file: fine")
         return 0
     }
+    if (parsed.hasMatchedOption("--actions")) {
+        val htmlFile = parsed.matchedOptionValue<Path?>("--actions-html", null)
+        return InspectionCommand(settings, features.duties ?: DutySettings(), htmlFile).run()
+    }
     val loop = EventLoop()
-    loop.run { Controller(settings, policy, loop).run() }
+    loop.run { Controller(settings, policy, features, loop).run() }
     return 0
 }
--- a/src/main/kotlin/linemast/app/Node.kt
+++ b/src/main/kotlin/linemast/app/Node.kt
@@ -18,6 +18,7 @@
 import linemast.peers.PeerFrame
 import linemast.peers.PeerView
 import linemast.planning.Policy
+import linemast.settings.Features
 import linemast.settings.Settings
 import linemast.state.CommitResult
 import linemast.state.Condition
@@ -45,6 +46,7 @@
     private val scope: CoroutineScope,
     /** Told when this controller begins to lead and when it ends. */
     private val onLead: (Boolean) -> Unit = {},
+    private val features: Features = Features(),
 ) {
     private val log = LoggerFactory.getLogger(Node::class.java)
     private val view = LeaderView()
@@ -89,7 +91,7 @@
     private fun startLeader(authority: Authority) {
         val leaderScope = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
         val next = Leader(
-            settings, policy, store, cloud, clock, authority, graceMicros, leaderScope, wallMicros, peers, { types },
+            settings, policy, store, cloud, clock, authority, graceMicros, leaderScope, wallMicros, peers, { types }, features,
         )
         this.leaderScope = leaderScope
         leader = next
--- a/src/main/kotlin/linemast/app/Rehearsal.kt
+++ b/src/main/kotlin/linemast/app/Rehearsal.kt
@@ -4,7 +4,9 @@
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import linemast.duties.DutySettings
 import linemast.planning.Policy
+import linemast.settings.Features
 import linemast.settings.Settings
 import linemast.settings.SettingsReader
 import linemast.wire.Address
@@ -35,7 +37,7 @@
             val settings = settings(outside)
             val store = RehearsalStore()
             launch { HttpServer(loop, outside, 64, store::answer).serve(this) }
-            launch { Controller(settings, Policy(), loop).run() }
+            launch { Controller(settings, Policy(), Features(duties = DutySettings()), loop).run() }
             play(HttpClient(loop, settings.serveOn, 4))
             coroutineContext.cancelChildren()
         }
--- a/src/main/kotlin/linemast/cloud/CloudClient.kt
+++ b/src/main/kotlin/linemast/cloud/CloudClient.kt
@@ -31,7 +31,7 @@
 )
 
 /** A request for [number] machines of one shape. Repeated under the same [requestId] it rents at most once. */
-class RentRequest(val requestId: String, val machineType: String, val zone: String, val spot: Boolean, val number: Int)
+data class RentRequest(val requestId: String, val machineType: String, val zone: String, val spot: Boolean, val number: Int)
 
 /** What became of a rental request. */
 sealed interface RentResult {
@@ -46,7 +46,7 @@
 }
 
 /** A call to the cloud that gave no usable answer. */
-class CloudException(message: String) : Exception(message)
+open class CloudException(message: String) : Exception(message)
 
 /** The cloud, as much of it as the controllers use. Tests put a stand-in behind it. */
 interface Cloud {
--- a/src/main/kotlin/linemast/cloud/Fleet.kt
+++ b/src/main/kotlin/linemast/cloud/Fleet.kt
@@ -48,6 +48,9 @@
     var hasWaitingWishes = false
         private set
 
+    /** Machines whose return an earlier leader has asked for: it may be carried out at any moment. */
+    private val returning = HashSet<String>()
+
     private class Refusal(var untilMicros: Long, var times: Int)
 
     /** Whether the cloud's list has been seen. */
@@ -60,7 +63,7 @@
         for (item in list) {
             val type = types[item.machineType] ?: continue
             val machine = machines.getOrPut(item.name) {
-                CloudMachine(item.name, type, item.zone, item.spot, nowMicros - item.ageMicros)
+                CloudMachine(item.name, type, item.zone, item.spot, nowMicros - item.ageMicros).also { it.returning = it.name in returning }
             }
             machine.listedMicros = nowMicros
             machine.status = item.status
@@ -69,6 +72,17 @@
         machines.values.removeIf { maxOf(it.listedMicros, it.rentedMicros) < absentSince }
     }
 
+    /** An earlier leader has asked for [request], and its answer is not known yet. */
+    fun adopt(request: RentRequest) {
+        pendingRents[request.requestId] = request
+    }
+
+    /** Machines of which an earlier leader has decided the return. */
+    fun markReturning(names: Collection<String>) {
+        returning += names
+        names.forEach { machines[it]?.returning = true }
+    }
+
     /** The cloud has granted [names] for [request]. */
     fun rented(request: RentRequest, names: List<String>, types: Map<String, MachineType>, nowMicros: Long) {
         pendingRents.remove(request.requestId)
@@ -96,6 +110,7 @@
     /** The cloud has confirmed the return of [names]. */
     fun gone(names: Collection<String>) {
         names.forEach(machines::remove)
+        returning -= names.toSet()
     }
 
     private fun refuse(offer: MachineShape, nowMicros: Long) {
@@ -224,10 +239,10 @@
         planned: (Machine) -> Boolean,
         demandCeased: Boolean,
         nowMicros: Long,
-    ): Map<String, String> {
+    ): Map<String, ReturnReason> {
         val heardZones = returnRules.heardZones(workers, nowMicros)
         val situation = ReturnRules.Situation(planned, demandCeased, heardZones, nowMicros)
-        val reasons = LinkedHashMap<String, String>()
+        val reasons = LinkedHashMap<String, ReturnReason>()
         for (machine in machines.values) {
             if (machine.returning) continue
             val reason = returnRules.reason(machine, workers[machine.name], isOwned(machine.name), situation) ?: continue
--- a/src/main/kotlin/linemast/cloud/ReturnRules.kt
+++ b/src/main/kotlin/linemast/cloud/ReturnRules.kt
@@ -25,39 +25,39 @@
     }
 
     /** Why [machine] is to be given back; null if it is not. */
-    fun reason(machine: CloudMachine, worker: Machine?, isOwned: Boolean, situation: Situation): String? {
-        if (machine.status == CloudMachine.FAILED) return "has stopped by itself"
+    fun reason(machine: CloudMachine, worker: Machine?, isOwned: Boolean, situation: Situation): ReturnReason? {
+        if (machine.status == CloudMachine.FAILED) return ReturnReason.FAILED
         if (worker == null || worker.reportedMicros == 0L) return neverReported(machine, situation.nowMicros)
         return faulty(machine, worker, isOwned, situation) ?: idle(worker, isOwned, situation)
     }
 
-    private fun neverReported(machine: CloudMachine, nowMicros: Long): String? {
+    private fun neverReported(machine: CloudMachine, nowMicros: Long): ReturnReason? {
         val age = nowMicros - machine.rentedMicros
         val limit = NEVER_BOOTS * machine.type.startupMicros + NEVER_MICROS
-        return if (machine.status == CloudMachine.STARTING && age > limit) "does not come up" else null
+        return if (machine.status == CloudMachine.STARTING && age > limit) ReturnReason.NEVER_UP else null
     }
 
-    private fun faulty(machine: CloudMachine, worker: Machine, isOwned: Boolean, situation: Situation): String? {
+    private fun faulty(machine: CloudMachine, worker: Machine, isOwned: Boolean, situation: Situation): ReturnReason? {
         val silentMicros = situation.nowMicros - worker.reportedMicros
         val isHeardZone = worker.zone in situation.heardZones
         val noticeMicros = worker.preemptionNoticeMicros
         val mostSilentMicros = if (isOwned) OWNED_SILENT_MICROS else SILENT_MICROS
         return when {
-            worker.failedJobs.size >= FAILED_JOBS && worker.draining -> "fails what it starts"
-            noticeMicros != null && silentMicros >= noticeMicros - PREEMPTION_MARGIN_MICROS -> "preempted"
-            machine.spot && silentMicros > quietMicros && isHeardZone -> "taken without notice"
-            silentMicros > mostSilentMicros && isHeardZone -> "silent"
-            worker.deafSinceMicros > 0 && situation.nowMicros - worker.deafSinceMicros > SILENT_MICROS -> "does not hear"
+            worker.failedJobs.size >= FAILED_JOBS && worker.draining -> ReturnReason.FAULTY
+            noticeMicros != null && silentMicros >= noticeMicros - PREEMPTION_MARGIN_MICROS -> ReturnReason.PREEMPTED
+            machine.spot && silentMicros > quietMicros && isHeardZone -> ReturnReason.TAKEN
+            silentMicros > mostSilentMicros && isHeardZone -> ReturnReason.SILENT
+            worker.deafSinceMicros > 0 && situation.nowMicros - worker.deafSinceMicros > SILENT_MICROS -> ReturnReason.DEAF
             else -> null
         }
     }
 
-    private fun idle(worker: Machine, isOwned: Boolean, situation: Situation): String? {
+    private fun idle(worker: Machine, isOwned: Boolean, situation: Situation): ReturnReason? {
         val isBusy = worker.placements.isNotEmpty() || worker.reservedFor != null
         if (isBusy || situation.nowMicros - worker.reportedMicros > quietMicros || situation.isNeeded(worker)) return null
         val idleMicros = situation.nowMicros - worker.idleSinceMicros
-        if (!isOwned) return if (idleMicros > patienceMicros(policy.idleReturnMicros, situation)) "idle" else null
-        return if (idleMicros > patienceMicros(policy.ownedIdleMicros, situation)) "owned, long idle" else null
+        if (!isOwned) return if (idleMicros > patienceMicros(policy.idleReturnMicros, situation)) ReturnReason.IDLE else null
+        return if (idleMicros > patienceMicros(policy.ownedIdleMicros, situation)) ReturnReason.OWNED_IDLE else null
     }
 
     /** Once demand has ceased nothing is kept for it, beyond the time in which a running task may not show in a report yet. */
--- /dev/null
+++ b/src/main/kotlin/linemast/duties/Duty.kt
@@ -0,0 +1,33 @@
+package linemast.duties
+
+import linemast.cloud.ReturnReason
+
+/** What only the current leader may do at the cloud; [stored] is its name in the store and in settings. */
+enum class Duty(val stored: String) {
+    /** Renting machines. */
+    RENT("rent"),
+
+    /** Giving back machines that nobody needs any more. */
+    RETURN("return"),
+
+    /** Taking machines out of the fleet that are lost to it: silent, deaf, faulty, preempted or absent ones. */
+    RECLAIM("reclaim"),
+
+    /** Deleting what is left of machines that have stopped, were taken, or never came up. */
+    CLEAN_UP("clean-up"),
+    ;
+
+    companion object {
+        private val byStored = entries.associateBy { it.stored }
+
+        /** The duty called [stored]; null if there is none. */
+        fun of(stored: String): Duty? = byStored[stored]
+
+        /** The duty that a return for [reason] belongs to. */
+        fun of(reason: ReturnReason): Duty = when (reason) {
+            ReturnReason.IDLE, ReturnReason.OWNED_IDLE -> RETURN
+            ReturnReason.FAILED, ReturnReason.NEVER_UP, ReturnReason.TAKEN -> CLEAN_UP
+            ReturnReason.FAULTY, ReturnReason.PREEMPTED, ReturnReason.SILENT, ReturnReason.DEAF, ReturnReason.ABSENT -> RECLAIM
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/duties/DutyHolder.kt
@@ -0,0 +1,83 @@
+package linemast.duties
+
+import linemast.cloud.Cloud
+import linemast.cloud.CloudException
+import linemast.cloud.CloudExecutor
+import linemast.cloud.RentRequest
+import linemast.cloud.RentResult
+import linemast.cloud.Returns
+import linemast.leadership.Authority
+import linemast.settings.StateLimits
+import linemast.state.Store
+import linemast.wire.Cbor
+import linemast.wire.Clock
+
+/**
+ * The single-holder duties during one term of leading: renting, returning, reclaiming and cleaning up machines.
+ *
+ * Nothing is asked of the cloud before the store holds the intent to do so, committed under this term's fence. So a
+ * controller that has been replaced can begin nothing, whatever its clock says, and a call of it that comes late does
+ * only what its successor has read in the store and takes as done.
+ */
+internal class DutyHolder(
+    private val settings: DutySettings,
+    store: Store,
+    cloud: Cloud,
+    clock: Clock,
+    wallMicros: () -> Long,
+    private val authority: Authority,
+    private val limits: StateLimits,
+) : CloudExecutor {
+    private val writer = IntentWriter(store, authority, settings.slots, limits.mostTxnOps, wallMicros)
+
+    /** Carries out what this term, or an earlier one, has committed. */
+    val runner = IntentRunner(cloud, clock, wallMicros, authority, writer, settings.adoptMicros)
+
+    /** Intents of earlier terms that have not ended, as [load] has read them. */
+    val inherited: List<StoredIntent> get() = writer.log.open.filter { it.intent.id.fencingToken < authority.fencingToken }
+
+    /** Reads the intents in the store. To be done before the first decision of the term. */
+    suspend fun load() = writer.load()
+
+    /** Writes intents until the term ends or it is cancelled. */
+    suspend fun run() = writer.run()
+
+    override suspend fun rent(request: RentRequest): RentResult {
+        if (Duty.RENT in settings.suspended) return RentResult.NoCapacity
+        val rental = CloudAction.Rental(request)
+        val result = try {
+            runner.rent(writer.begin(rental), rental)
+        } catch (e: DutyLostException) {
+            // It is for the next holder to carry on with.
+            return RentResult.Unknown
+        }
+        if (result == RentResult.Unknown) throw CloudException("no answer to rental ${request.requestId}")
+        return result
+    }
+
+    override fun parts(returns: Returns): List<Returns> = returns.entries.groupBy { Duty.of(it.value) }.flatMap { (duty, group) ->
+        if (duty in settings.suspended) return@flatMap emptyList()
+        group.chunked(namesInValue(group.map { it.key })).map { chunk -> chunk.associate { it.key to it.value } }
+    }
+
+    override suspend fun giveBack(returns: Returns) {
+        val names = returns.keys.toList()
+        val open = writer.begin(CloudAction.Return(names, Duty.of(returns.values.first())))
+        runner.giveBack(names)
+        runner.closeReturn(open, names.size)
+    }
+
+    /** As many names as fit the value of an intent, whatever else it holds. */
+    private fun namesInValue(names: List<String>): Int {
+        val longest = names.maxOf { Cbor.jsonSize(it) + 1 }
+        return ((limits.mostValueBytes - FRAME_BYTES) / longest).coerceIn(1, MOST_NAMES)
+    }
+
+    private companion object {
+        /** What a cloud takes back in one call. */
+        const val MOST_NAMES = 100
+
+        /** The other fields of a stored intent. */
+        const val FRAME_BYTES = 300
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/duties/DutyInspection.kt
@@ -0,0 +1,23 @@
+package linemast.duties
+
+import linemast.leadership.LeaderKeys
+import linemast.state.Store
+import linemast.state.listAll
+
+/** Reads what the store holds of single-holder duties, and reports on it. Changes nothing. */
+class DutyInspection(private val store: Store, private val settings: DutySettings, private val wallMicros: () -> Long) {
+    /** The report as of now. */
+    suspend fun report(): DutyReport {
+        // The counter is read last: no intent that was read before it can be of a token that was not given out.
+        val log = IntentLog.empty(settings.slots).reload(store.listAll(IntentCodec.PREFIX).items)
+        val leader = store.get(LeaderKeys.LEADER)
+        val highest = store.get(LeaderKeys.FENCING_TOKEN)
+        val leadership = LeadershipRecord(
+            leaderName = leader?.value?.text("node"),
+            leaderToken = leader?.value?.long("helm"),
+            highestToken = highest?.value?.long("n") ?: 0L,
+        )
+        val intents = log.intents.map { it.intent }
+        return DutyReport(intents, leadership, IntentAudit(settings.adoptMicros).check(intents, leadership, wallMicros()))
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/duties/Inheritance.kt
@@ -0,0 +1,85 @@
+package linemast.duties
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import linemast.cloud.RentRequest
+import linemast.cloud.RentResult
+import org.slf4j.LoggerFactory
+
+/** What a new leader's state has to know of the intents that it inherits. Called on the coroutine that owns that state. */
+internal interface InheritanceEffects {
+    /** Whether no task can be on the machine. */
+    fun isFree(machineName: String): Boolean
+
+    /** The cloud has confirmed that the machines are gone. */
+    fun returned(names: List<String>)
+
+    /** What became of a rental that an earlier leader asked for. */
+    fun rented(request: RentRequest, result: RentResult)
+}
+
+/** Carries out what earlier leaders committed and did not end. */
+internal class Inheritance(
+    private val holder: DutyHolder,
+    private val effects: InheritanceEffects,
+    private val onLeaderLoop: suspend (() -> Unit) -> Unit,
+) {
+    private val logger = LoggerFactory.getLogger(Inheritance::class.java)
+    private val inherited = holder.inherited
+    private val returns = InheritedReturns(inherited)
+
+    /** Machines whose return may be carried out at any moment. */
+    val returningNames: Set<String> get() = returns.names
+
+    /** Rentals that may be carried out at any moment. */
+    val rentals: List<RentRequest> get() = inherited.mapNotNull { (it.intent.action as? CloudAction.Rental)?.request }
+
+    /** Begins the work in [scope]; it ends by itself. */
+    fun start(scope: CoroutineScope) {
+        if (inherited.isEmpty()) return
+        logger.info("inherited {} open actions: {}", inherited.size, inherited.map { "${it.intent.action.duty.stored} ${it.intent.id}" })
+        for (stored in inherited) {
+            val rental = stored.intent.action as? CloudAction.Rental ?: continue
+            scope.launch { adopt(stored, rental) }
+        }
+        scope.launch { finishReturns() }
+    }
+
+    /** Asks under the same id: the answer says what was rented, whoever asked first. */
+    private suspend fun adopt(stored: StoredIntent, rental: CloudAction.Rental) = untilLost {
+        val result = holder.runner.rent(stored, rental)
+        onLeaderLoop { effects.rented(rental.request, result) }
+    }
+
+    private suspend fun finishReturns() = untilLost {
+        while (!returns.isOver) {
+            val free = CompletableDeferred<List<String>>()
+            onLeaderLoop { free.complete(returns.next(MOST_NAMES, effects::isFree)) }
+            val names = free.await()
+            if (names.isEmpty()) delay(LOOK_MILLIS) else finish(names)
+        }
+    }
+
+    private suspend fun finish(names: List<String>) {
+        holder.runner.giveBack(names)
+        onLeaderLoop { effects.returned(names) }
+        for (over in returns.confirmed(names)) {
+            holder.runner.closeReturn(over, (over.intent.action as CloudAction.Return).names.size)
+        }
+    }
+
+    private suspend fun untilLost(action: suspend () -> Unit) {
+        try {
+            action()
+        } catch (e: DutyLostException) {
+            logger.debug("{}", e.message)
+        }
+    }
+
+    private companion object {
+        const val LOOK_MILLIS = 500L
+        const val MOST_NAMES = 100
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/duties/IntentCodec.kt
@@ -0,0 +1,66 @@
+package linemast.duties
+
+import linemast.cloud.RentRequest
+import linemast.wire.Fields
+
+/** The stored form of intents. Names in the store occur only here. */
+object IntentCodec {
+    /** Intents are kept in numbered slots under this prefix. */
+    const val PREFIX = "duty/"
+
+    /** The key of a slot. */
+    fun key(slot: Int): String = "$PREFIX$slot"
+
+    /** The slot that [key] belongs to; null if it is not the key of a slot. */
+    fun slot(key: String): Int? = key.removePrefix(PREFIX).toIntOrNull()?.takeIf { it >= 0 && key(it) == key }
+
+    /** The stored form of [intent]. */
+    fun encode(intent: Intent): Map<String, Any?> = buildMap {
+        put("helm", intent.id.fencingToken)
+        put("n", intent.id.number)
+        put("duty", intent.action.duty.stored)
+        put("state", intent.state.stored)
+        put("at_us", intent.decidedWallMicros)
+        put("count", intent.machineCount)
+        intent.closedByToken?.let { put("closed_by", it) }
+        when (val action = intent.action) {
+            is CloudAction.Rental -> put("rental", encode(action.request))
+            is CloudAction.Return -> put("rigs", action.names)
+        }
+    }
+
+    private fun encode(request: RentRequest): Map<String, Any?> = mapOf(
+        "charter" to request.requestId,
+        "build" to request.machineType,
+        "yard" to request.zone,
+        "loaners" to request.spot,
+        "number" to request.number,
+    )
+
+    /** Reads the stored form; throws a `MalformedException` for anything else. */
+    fun decode(fields: Fields): Intent {
+        val duty = Duty.of(fields.text("duty")) ?: fields.fail("duty", "is unknown")
+        return Intent(
+            id = IntentId(fields.long("helm"), fields.long("n")),
+            action = action(duty, fields),
+            decidedWallMicros = fields.long("at_us"),
+            state = IntentState.of(fields.text("state")) ?: fields.fail("state", "is unknown"),
+            machineCount = fields.long("count").toInt(),
+            closedByToken = fields.longOrNull("closed_by"),
+        )
+    }
+
+    private fun action(duty: Duty, fields: Fields): CloudAction {
+        if (duty == Duty.RENT) return CloudAction.Rental(request(fields.child("rental")))
+        val names = fields.textsOrNull("rigs") ?: fields.fail("rigs", "is missing")
+        return CloudAction.Return(names, duty)
+    }
+
+    private fun request(fields: Fields) = RentRequest(
+        requestId = fields.text("charter"),
+        machineType = fields.text("build"),
+        zone = fields.text("yard"),
+        spot = fields.flag("loaners"),
+        number = fields.long("number").toInt(),
+    )
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/duties/IntentRunner.kt
@@ -0,0 +1,89 @@
+package linemast.duties
+
+import kotlinx.coroutines.delay
+import linemast.cloud.Cloud
+import linemast.cloud.CloudException
+import linemast.cloud.RentResult
+import linemast.leadership.Authority
+import linemast.wire.Clock
+import linemast.wire.SECOND_MICROS
+import org.slf4j.LoggerFactory
+
+/**
+ * Carries out open intents at the cloud, this term's own ones and inherited ones alike, and has their ends stored.
+ *
+ * A call leaves only while the authority lasts. A process that stands still between that check and the call may still
+ * send it late: by then the intent has been committed, and the next leader acts on it too.
+ */
+internal class IntentRunner(
+    private val cloud: Cloud,
+    private val clock: Clock,
+    private val wallMicros: () -> Long,
+    private val authority: Authority,
+    private val writer: IntentWriter,
+    private val adoptMicros: Long,
+) {
+    private val logger = LoggerFactory.getLogger(IntentRunner::class.java)
+
+    /** Repeats the rental until the cloud has answered or it is too old; [RentResult.Unknown] in the latter case. */
+    suspend fun rent(open: StoredIntent, rental: CloudAction.Rental): RentResult {
+        while (isYoung(open.intent)) {
+            awaitAuthority()
+            when (val result = tryRent(rental)) {
+                is RentResult.Rented -> {
+                    writer.close(open, IntentState.CARRIED_OUT, result.names.size)
+                    return result
+                }
+                RentResult.NoCapacity -> {
+                    writer.close(open, IntentState.REFUSED, 0)
+                    return result
+                }
+                RentResult.Unknown -> delay(RETRY_MILLIS)
+            }
+        }
+        logger.info("rental {} is abandoned: no answer", rental.request.requestId)
+        writer.close(open, IntentState.ABANDONED, 0)
+        return RentResult.Unknown
+    }
+
+    private fun isYoung(intent: Intent): Boolean = wallMicros() - intent.decidedWallMicros < adoptMicros
+
+    /** A request that the cloud takes to be malformed will never be carried out. */
+    private suspend fun tryRent(rental: CloudAction.Rental): RentResult = try {
+        cloud.rent(rental.request)
+    } catch (e: CloudException) {
+        logger.error("rental {}: {}", rental.request.requestId, e.message)
+        RentResult.NoCapacity
+    }
+
+    /** Repeats the return of [names] until the cloud has confirmed it. */
+    suspend fun giveBack(names: List<String>) {
+        var pauseMillis = RETRY_MILLIS
+        while (true) {
+            awaitAuthority()
+            try {
+                return cloud.giveBack(names)
+            } catch (e: CloudException) {
+                logger.info("return of {}: {}", names, e.message)
+            }
+            delay(pauseMillis)
+            pauseMillis = minOf(pauseMillis * 2, MOST_PAUSE_MILLIS)
+        }
+    }
+
+    /** Has the end of a return stored. */
+    suspend fun closeReturn(open: StoredIntent, machineCount: Int) = writer.close(open, IntentState.CARRIED_OUT, machineCount)
+
+    private suspend fun awaitAuthority() {
+        while (!authority.mayCommand(clock.nowMicros())) {
+            if (authority.ended) throw DutyLostException("the term with fencing token ${authority.fencingToken} has ended")
+            delay(AUTHORITY_MILLIS)
+        }
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = SECOND_MICROS / 1_000
+        const val MOST_PAUSE_MILLIS = 8 * RETRY_MILLIS
+        const val AUTHORITY_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/duties/IntentWriter.kt
@@ -0,0 +1,175 @@
+package linemast.duties
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import linemast.cloud.CloudException
+import linemast.leadership.Authority
+import linemast.leadership.attempt
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.Priority
+import linemast.state.Store
+import linemast.state.Write
+import linemast.state.WriteBatches
+import linemast.state.listAll
+import org.slf4j.LoggerFactory
+
+/** This controller does not hold the duties any more: whatever it wanted to do is for the next holder to decide. */
+class DutyLostException(message: String) : CloudException(message)
+
+/** As many intents are open as there are slots: nothing new can be begun until one of them has ended. */
+class NoFreeSlotException : CloudException("all slots hold open intents")
+
+/**
+ * Writes intents, and their ends, to the store: one transaction at a time, which takes all that wait.
+ *
+ * Every transaction depends on the leader's fence and on the versions of the slots that it replaces. A transaction
+ * without an answer is sent again with the same conditions, so that at most one of its copies is carried out; none is,
+ * however late it arrives, once another controller leads.
+ */
+internal class IntentWriter(
+    private val store: Store,
+    private val authority: Authority,
+    slotCount: Int,
+    maxTransactionWrites: Int,
+    private val wallMicros: () -> Long,
+) {
+    private sealed interface Request {
+        /** Answered once the store holds the intent. */
+        class Begin(val intent: Intent, val slot: Int, val stored: CompletableDeferred<StoredIntent>) : Request
+
+        class Close(val intent: Intent, val slot: Int) : Request
+    }
+
+    private val logger = LoggerFactory.getLogger(IntentWriter::class.java)
+    private val batches = WriteBatches(maxTransactionWrites)
+
+    /** A slot has at most one request waiting, and no request is without a slot: the slots bound the queue. */
+    private val requests = Channel<Request>(slotCount)
+    private var lastNumber = 0L
+
+    /** What the store holds, as far as this controller has read or written it. */
+    var log = IntentLog.empty(slotCount)
+        private set
+
+    /** Reads all slots. Late writes of earlier leaders can change none of them any more, since this term has begun. */
+    suspend fun load() {
+        log = log.reload(store.listAll(IntentCodec.PREFIX).items)
+        if (log.unreadable.isNotEmpty()) logger.error("slots {} hold no intent and are left alone", log.unreadable)
+    }
+
+    /** Commits that [action] is to be done, and returns once the store holds it. */
+    suspend fun begin(action: CloudAction): StoredIntent {
+        val slot = log.freeSlot() ?: throw NoFreeSlotException()
+        log = log.reserve(slot)
+        val intent = Intent(IntentId(authority.fencingToken, ++lastNumber), action, wallMicros())
+        val stored = CompletableDeferred<StoredIntent>()
+        requests.send(Request.Begin(intent, slot, stored))
+        return stored.await()
+    }
+
+    /** Has the end of an intent stored, soon. If this term ends before that, the next leader repeats the action, which does no more. */
+    suspend fun close(open: StoredIntent, state: IntentState, machineCount: Int) {
+        requests.send(Request.Close(open.intent.closed(state, machineCount, authority.fencingToken), open.slot))
+    }
+
+    /** Writes what is asked for until the term ends or it is cancelled. */
+    suspend fun run() {
+        for (first in requests) {
+            val waiting = arrayListOf(first)
+            while (true) waiting += requests.tryReceive().getOrNull() ?: break
+            for (batch in batches.pack(waiting, ::writeOf)) {
+                if (!write(batch)) return abandon(waiting)
+            }
+        }
+    }
+
+    private fun intentOf(request: Request): Intent = when (request) {
+        is Request.Begin -> request.intent
+        is Request.Close -> request.intent
+    }
+
+    private fun slotOf(request: Request): Int = when (request) {
+        is Request.Begin -> request.slot
+        is Request.Close -> request.slot
+    }
+
+    private fun writeOf(request: Request): Write = Write.Put(IntentCodec.key(slotOf(request)), IntentCodec.encode(intentOf(request)))
+
+    /** False when the term has ended. */
+    private suspend fun write(batch: List<Request>): Boolean {
+        var left = batch
+        while (left.isNotEmpty()) {
+            if (authority.ended) return false
+            when (val result = commit(left)) {
+                is CommitResult.Applied -> {
+                    left.forEach { stored(it, result.revision) }
+                    return true
+                }
+                is CommitResult.Conflict -> {
+                    if (authority.fence.key in result.failed) {
+                        authority.end()
+                        return false
+                    }
+                    left = notYetStored(left)
+                }
+                is CommitResult.NoSuchLease, null -> delay(RETRY_MILLIS)
+            }
+        }
+        return true
+    }
+
+    private suspend fun commit(requests: List<Request>): CommitResult? {
+        val slots = requests.map(::slotOf)
+        val conditions = slots.map { Condition(IntentCodec.key(it), log.versionOf(it)) }
+        return attempt(logger) { store.commit(listOf(authority.fence) + conditions, requests.map(::writeOf), Priority.INTAKE) }
+    }
+
+    /** A slot is not as it was taken to be: most likely an earlier copy of the same transaction was carried out. */
+    private suspend fun notYetStored(batch: List<Request>): List<Request> {
+        if (attempt(logger) { load() } == null) {
+            delay(RETRY_MILLIS)
+            return batch
+        }
+        return batch.mapNotNull { request ->
+            val found = log[slotOf(request)]
+            when {
+                found?.intent == intentOf(request) -> null.also { stored(request, found.version) }
+                request is Request.Begin -> elsewhere(request)
+                // The slot holds another intent, so that this one has long ended.
+                else -> request.takeIf { found?.intent?.id == intentOf(request).id }
+            }
+        }
+    }
+
+    /** The same request with a slot that is free. */
+    private fun elsewhere(request: Request.Begin): Request? {
+        log = log.release(request.slot)
+        val slot = log.freeSlot()
+        if (slot == null) {
+            request.stored.completeExceptionally(NoFreeSlotException())
+            return null
+        }
+        log = log.reserve(slot)
+        return Request.Begin(request.intent, slot, request.stored)
+    }
+
+    private fun stored(request: Request, version: Long) {
+        val slot = slotOf(request)
+        val entry = StoredIntent(slot, intentOf(request), version)
+        log = log.put(entry)
+        if (request is Request.Begin) request.stored.complete(entry)
+    }
+
+    private fun abandon(waiting: List<Request>) {
+        val lost = DutyLostException("the term with fencing token ${authority.fencingToken} has ended")
+        requests.close(lost)
+        val unanswered = waiting + generateSequence { requests.tryReceive().getOrNull() }
+        unanswered.filterIsInstance<Request.Begin>().forEach { it.stored.completeExceptionally(lost) }
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 250L
+    }
+}
--- a/src/main/kotlin/linemast/leadership/CloudOperations.kt
+++ b/src/main/kotlin/linemast/leadership/CloudOperations.kt
@@ -5,10 +5,12 @@
 import kotlinx.coroutines.launch
 import linemast.cloud.Cloud
 import linemast.cloud.CloudException
+import linemast.cloud.CloudExecutor
 import linemast.cloud.Fleet
 import linemast.cloud.MACHINES_A_LIST_CALL
 import linemast.cloud.RentRequest
 import linemast.cloud.RentResult
+import linemast.cloud.Returns
 import linemast.placement.Cluster
 import linemast.planning.CloudActions
 import linemast.planning.Provisioner
@@ -23,6 +25,7 @@
  */
 internal class CloudOperations(
     private val cloud: Cloud,
+    private val executor: CloudExecutor,
     private val clock: Clock,
     private val scope: CoroutineScope,
     private val authority: Authority,
@@ -75,7 +78,7 @@
     /** Starts the rentals and returns of [actions]. */
     fun run(actions: CloudActions) {
         actions.rentals.forEach { request -> scope.launch { rent(request) } }
-        if (actions.returns.isNotEmpty()) giveBack(actions.returns.keys.toList())
+        if (actions.returns.isNotEmpty()) executor.parts(actions.returns).forEach(::giveBack)
     }
 
     /** A request without an answer is repeated under the same id, which rents at most once. */
@@ -93,39 +96,43 @@
     }
 
     private suspend fun tryRent(request: RentRequest): RentResult = try {
-        cloud.rent(request)
+        executor.rent(request)
     } catch (e: CloudException) {
         log.error("rental {}: {}", request.requestId, e.message)
         RentResult.NoCapacity
     }
 
-    private fun rented(request: RentRequest, result: RentResult) {
+    /** Takes what became of a rental. */
+    fun rented(request: RentRequest, result: RentResult) {
         val now = clock.nowMicros()
+        if (result == RentResult.Unknown) return fleet.gaveUp(request)
         val granted = (result as? RentResult.Rented)?.names
         if (granted == null) fleet.refused(request, cluster.types, now) else fleet.rented(request, granted, cluster.types, now)
         if ((granted?.size ?: 0) < request.number || fleet.hasWaitingWishes) provisioner.adjustSoon()
     }
 
-    private fun giveBack(names: List<String>) {
+    private fun giveBack(returns: Returns) {
+        val names = returns.keys.toList()
         for (name in names) {
             fleet.machines[name]?.returning = true
             cluster.machines[name]?.draining = true
         }
         scope.launch {
-            val isConfirmed = tryGiveBack(names)
+            val isConfirmed = tryGiveBack(returns)
             onLeaderLoop { if (isConfirmed) returned(names) else names.forEach { fleet.machines[it]?.returning = false } }
         }
     }
 
-    private suspend fun tryGiveBack(names: List<String>): Boolean = try {
-        cloud.giveBack(names)
+    private suspend fun tryGiveBack(returns: Returns): Boolean = try {
+        executor.giveBack(returns)
         true
     } catch (e: CloudException) {
-        log.info("return of {}: {}", names, e.message)
+        log.info("return of {}: {}", returns.keys, e.message)
         false
     }
 
-    private fun returned(names: List<String>) {
+    /** The cloud has confirmed that the machines are gone. */
+    fun returned(names: List<String>) {
         fleet.gone(names)
         cluster.returned(names)
         fleetStore.remove(names)
--- a/src/main/kotlin/linemast/leadership/Leader.kt
+++ b/src/main/kotlin/linemast/leadership/Leader.kt
@@ -6,8 +6,14 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import linemast.cloud.Cloud
+import linemast.cloud.DirectExecutor
 import linemast.cloud.Fleet
 import linemast.cloud.MachineType
+import linemast.cloud.RentRequest
+import linemast.cloud.RentResult
+import linemast.duties.DutyHolder
+import linemast.duties.Inheritance
+import linemast.duties.InheritanceEffects
 import linemast.jobs.Progress
 import linemast.jobs.Verdict
 import linemast.peers.PeerView
@@ -18,6 +24,7 @@
 import linemast.planning.Policy
 import linemast.planning.Provisioner
 import linemast.planning.TaskTimes
+import linemast.settings.Features
 import linemast.settings.Settings
 import linemast.state.Store
 import linemast.wire.Clock
@@ -43,7 +50,9 @@
     private val wallMicros: () -> Long,
     private val peers: PeerView,
     types: () -> List<MachineType>?,
-) : Effects {
+    features: Features = Features(),
+) : Effects,
+    InheritanceEffects {
     private val log = LoggerFactory.getLogger(Leader::class.java)
 
     /** A connection has one report under way, so that all of them have room: none is turned away for a burst. */
@@ -85,9 +94,11 @@
         limits.mostTxnOps,
         settings.cloudLimits.listLagMicros,
     )
+    private val duties = features.duties?.let { DutyHolder(it, store, cloud, clock, wallMicros, authority, limits) }
     private val cloudOperations =
         CloudOperations(
             cloud,
+            duties ?: DirectExecutor(cloud),
             clock,
             scope,
             authority,
@@ -170,6 +181,7 @@
     /** Leads until it is cancelled. */
     suspend fun run() {
         storedJobs.load()
+        duties?.let { inherit(it) }
         loaded = true
         endEarlierGraceIfKnown()
         storedJobs.watch(scope)
@@ -178,6 +190,23 @@
         for (event in events) event()
     }
 
+    /** Takes over what earlier leaders have committed to do at the cloud, before anything is decided. */
+    private suspend fun inherit(duties: DutyHolder) {
+        while (attempt(log) { duties.load() } == null) delay(RETRY_MILLIS)
+        val inheritance = Inheritance(duties, this, events::send)
+        cluster.markBeingReturned(inheritance.returningNames)
+        fleet.markReturning(inheritance.returningNames)
+        inheritance.rentals.forEach(fleet::adopt)
+        scope.launch { duties.run() }
+        inheritance.start(scope)
+    }
+
+    override fun isFree(machineName: String): Boolean = cluster.isFree(machineName)
+
+    override fun returned(names: List<String>) = cloudOperations.returned(names)
+
+    override fun rented(request: RentRequest, result: RentResult) = cloudOperations.rented(request, result)
+
     private suspend fun tickRegularly() {
         while (true) {
             delay(TICK_MILLIS)
@@ -215,5 +244,6 @@
 
     private companion object {
         const val TICK_MILLIS = 250L
+        const val RETRY_MILLIS = 250L
     }
 }
--- a/src/main/kotlin/linemast/leadership/StandingFleetStore.kt
+++ b/src/main/kotlin/linemast/leadership/StandingFleetStore.kt
@@ -6,6 +6,7 @@
 import linemast.state.Item
 import linemast.state.Store
 import linemast.state.Write
+import linemast.state.WriteBatches
 import linemast.state.listAll
 import linemast.wire.Cbor
 import linemast.wire.Clock
@@ -22,10 +23,11 @@
     private val clock: Clock,
     private val authority: Authority,
     private val maxValueBytes: Int,
-    private val maxTransactionWrites: Int,
+    maxTransactionWrites: Int,
     private val listLagMicros: Long,
 ) {
     private val log = LoggerFactory.getLogger(StandingFleetStore::class.java)
+    private val batches = WriteBatches(maxTransactionWrites)
     private val electedMicros = clock.nowMicros()
 
     /** The names as stored, or as found now and stored; null if they cannot be told yet. */
@@ -47,23 +49,7 @@
         val puts = chunks.mapIndexed { at, chunk -> Write.Put("$PREFIX$at", mapOf(NAMES to chunk)) }
         val stale = stored.map { it.key }.filter { key -> puts.none { it.key == key } }.map { Write.Drop(it) }
         val conditions = listOf(authority.fence, Condition(FIRST_CHUNK, 0L))
-        return transactions(stale + puts.reversed()).all { store.commit(conditions, it) is CommitResult.Applied }
-    }
-
-    /** [writes] in their order, in as few transactions as their number and size allow. */
-    private fun transactions(writes: List<Write>): List<List<Write>> {
-        val transactions = ArrayList<ArrayList<Write>>()
-        var bytes = 0
-        for (write in writes) {
-            val size = if (write is Write.Put) Cbor.jsonSize(write.value) + FRAME_BYTES + write.key.length else write.key.length
-            if (transactions.isEmpty() || transactions.last().size >= maxTransactionWrites || bytes + size > MAX_TRANSACTION_BYTES) {
-                transactions += ArrayList<Write>()
-                bytes = 0
-            }
-            transactions.last() += write
-            bytes += size
-        }
-        return transactions
+        return batches.pack(stale + puts.reversed()) { it }.all { store.commit(conditions, it) is CommitResult.Applied }
     }
 
     private fun chunkSize(names: List<String>): Int {
@@ -77,9 +63,6 @@
         const val NAMES = "rigs"
         const val FAILED = "failed"
         const val MAX_CHUNK = 200
-
-        /** The store takes 64 KiB in a transaction; the rest is for its conditions and what is around the values. */
-        const val MAX_TRANSACTION_BYTES = 48 * 1024
         const val FRAME_BYTES = 11
         const val LAGS_UNTIL_EMPTY = 2
     }
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -50,6 +50,9 @@
     /** Machines of which the cloud has confirmed that they are gone; names are never used again. */
     private val returned = LinkedHashSet<String>()
 
+    /** Machines whose return may be carried out at any moment: they get no work. */
+    private val beingReturned = HashSet<String>()
+
     internal val attemptNumbers = AttemptNumbers(fencingToken)
     val usage = TeamUsage(settings.teams)
     private val placer = Placer(this, settings)
@@ -269,6 +272,18 @@
     /** Whether the cloud has confirmed that the machine is gone. */
     internal fun isReturned(machineName: String): Boolean = machineName in returned
 
+    /** Whether the machine's return may be carried out at any moment. */
+    internal fun isBeingReturned(machineName: String): Boolean = machineName in beingReturned
+
+    /** An earlier leader has decided the return of these: they get no work any more. */
+    fun markBeingReturned(names: Collection<String>) {
+        beingReturned += names
+        names.forEach { machines[it]?.draining = true }
+    }
+
+    /** Whether no task can be on the machine, as far as that can be known. */
+    fun isFree(machineName: String): Boolean = settled && machines[machineName]?.placements.isNullOrEmpty()
+
     /** Which machines are owned is known by the fleet. */
     fun markOwned(names: Set<String>) {
         owned = names
@@ -288,6 +303,7 @@
     fun returned(names: Collection<String>) {
         for (name in names) {
             returned += name
+            beingReturned -= name
             val machine = machines.remove(name) ?: continue
             machine.placements.values.toList().forEach(::remove)
         }
--- a/src/main/kotlin/linemast/placement/ReportHandler.kt
+++ b/src/main/kotlin/linemast/placement/ReportHandler.kt
@@ -87,6 +87,7 @@
         val type = cluster.types[report.machineType] ?: return null
         val machine = Machine(report.machineName, type, report.zone, report.spot)
         machine.owned = cluster.isOwned(machine.name)
+        machine.draining = cluster.isBeingReturned(machine.name)
         cluster.machines[report.machineName] = machine
         cluster.dirty = true
         return machine
--- a/src/main/kotlin/linemast/planning/Provisioner.kt
+++ b/src/main/kotlin/linemast/planning/Provisioner.kt
@@ -3,6 +3,7 @@
 import linemast.cloud.Fleet
 import linemast.cloud.MachineType
 import linemast.cloud.RentRequest
+import linemast.cloud.ReturnReason
 import linemast.placement.Cluster
 import linemast.placement.JobOrder
 import linemast.workers.Job
@@ -11,7 +12,7 @@
 import org.slf4j.LoggerFactory
 
 /** What the planning wants from the cloud now. */
-class CloudActions(val rentals: List<RentRequest>, val returns: Map<String, String>)
+class CloudActions(val rentals: List<RentRequest>, val returns: Map<String, ReturnReason>)
 
 /**
  * Runs the plan: whole plans each long interval and for each new job at once, backups each short interval.
@@ -63,14 +64,14 @@
      * over. Owned ones are too hard to get back, and a zone may be cut off as a whole: then only those are asked about
      * that the cloud does not list, or lists as failed.
      */
-    private fun absentAtTakeOver(nowMicros: Long): Map<String, String> {
+    private fun absentAtTakeOver(nowMicros: Long): Map<String, ReturnReason> {
         if (!fleet.isListed || !isDue(returnedAbsentMicros, RETURN_AGAIN_MICROS, nowMicros)) return emptyMap()
         val heard = cluster.takeover.zonesMostlyHeard()
         val absent = cluster.takeover.absentMachines(nowMicros).filter { fleet.isGone(it.name) || (!it.owned && it.zone in heard) }
         if (absent.isEmpty()) return emptyMap()
         returnedAbsentMicros = nowMicros
         log.info("returning {}: absent at the take-over", absent.map { it.name })
-        return absent.associate { it.name to "absent at the take-over" }
+        return absent.associate { it.name to ReturnReason.ABSENT }
     }
 
     private var returnedAbsentMicros = Long.MIN_VALUE
--- a/src/main/kotlin/linemast/settings/SettingsReader.kt
+++ b/src/main/kotlin/linemast/settings/SettingsReader.kt
@@ -35,7 +35,10 @@
     }
 
     /** Reads and checks the text of a settings file. */
-    fun parse(text: String): Settings = settings(Fields(tomlMap(text)))
+    fun parse(text: String): Settings = settings(table(text))
+
+    /** The table that the text of any TOML file stands for. */
+    fun table(text: String): Fields = Fields(tomlMap(text))
 
     private fun tomlMap(text: String): Map<String, Any?> = try {
         TomlFactory().createParser(text).use { parser ->
--- a/src/test/kotlin/linemast/cloud/ReturnRulesTest.kt
+++ b/src/test/kotlin/linemast/cloud/ReturnRulesTest.kt
@@ -12,7 +12,7 @@
     private val type = MachineType("small", 8.0, 0.0, 16.0, 50.0, 0.2, 0.42, 0.1, 25_000_000, listOf("z"))
     private val rules = ReturnRules(testSettings().workers, Policy())
 
-    private fun reasonAfter(idleMicros: Long, isOwned: Boolean, demandCeased: Boolean, isNeeded: Boolean = false): String? {
+    private fun reasonAfter(idleMicros: Long, isOwned: Boolean, demandCeased: Boolean, isNeeded: Boolean = false): ReturnReason? {
         val nowMicros = 600_000_000L
         val worker = Machine("host-000001", type, "z", false)
         worker.reportedMicros = nowMicros - 500_000
@@ -25,14 +25,14 @@
     @Test
     fun `an idle rented machine is kept for a while as long as jobs come`() {
         assertNull(reasonAfter(20_000_000, isOwned = false, demandCeased = false))
-        assertEquals("idle", reasonAfter(26_000_000, isOwned = false, demandCeased = false))
+        assertEquals(ReturnReason.IDLE, reasonAfter(26_000_000, isOwned = false, demandCeased = false))
     }
 
     @Test
     fun `once demand has ceased nothing idle is kept for longer than reports may be late`() {
         for (isOwned in listOf(false, true)) {
             assertNull(reasonAfter(4_000_000, isOwned, demandCeased = true))
-            assertEquals(if (isOwned) "owned, long idle" else "idle", reasonAfter(5_000_000, isOwned, demandCeased = true))
+            assertEquals(if (isOwned) ReturnReason.OWNED_IDLE else ReturnReason.IDLE, reasonAfter(5_000_000, isOwned, demandCeased = true))
             assertNull(reasonAfter(20_000_000, isOwned, demandCeased = true, isNeeded = true))
         }
     }
--- /dev/null
+++ b/src/test/kotlin/linemast/duties/IntentFormatsTest.kt
@@ -0,0 +1,91 @@
+package linemast.duties
+
+import linemast.cloud.RentRequest
+import linemast.settings.SettingsException
+import linemast.settings.SettingsReader
+import linemast.state.Item
+import linemast.wire.Cbor
+import linemast.wire.Fields
+import linemast.wire.MalformedException
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.random.Random
+
+internal fun generatedIntent(random: Random, token: Long = random.nextLong(1, 1_000), number: Long = random.nextLong(1, 9_999)): Intent {
+    val action = if (random.nextBoolean()) {
+        val request = RentRequest("r-$token-$number", "type-${random.nextInt(9)}", "zone", random.nextBoolean(), random.nextInt(1, 51))
+        CloudAction.Rental(request)
+    } else {
+        val duty = listOf(Duty.RETURN, Duty.RECLAIM, Duty.CLEAN_UP).random(random)
+        CloudAction.Return(List(random.nextInt(1, 101)) { "host-%06d".format(random.nextInt(1_000_000)) }, duty)
+    }
+    val open = Intent(IntentId(token, number), action, random.nextLong(1L shl 50))
+    return if (random.nextBoolean()) open else open.closed(IntentState.entries.drop(1).random(random), random.nextInt(101), token)
+}
+
+/** The stored form of intents and the settings file. */
+class IntentFormatsTest {
+    @Test
+    fun `what is stored is read back as it was`() {
+        val random = Random(27)
+        repeat(500) {
+            val intent = generatedIntent(random)
+            assertEquals(intent, IntentCodec.decode(Cbor.decodeMap(Cbor.encode(IntentCodec.encode(intent)))))
+        }
+    }
+
+    @Test
+    fun `what lacks a field, or has another form, is refused`() {
+        val random = Random(28)
+        repeat(200) {
+            val stored = IntentCodec.encode(generatedIntent(random))
+            for (field in stored.keys - setOf("closed_by")) {
+                assertThrows(MalformedException::class.java) { IntentCodec.decode(Fields(stored - field)) }
+                assertThrows(MalformedException::class.java) { IntentCodec.decode(Fields(stored + (field to listOf(1L)))) }
+            }
+        }
+    }
+
+    @Test
+    fun `a key belongs to a slot only in the form in which it is written`() {
+        assertEquals(17, IntentCodec.slot(IntentCodec.key(17)))
+        for (key in listOf("duty/", "duty/x", "duty/-1", "duty/017", "duty/1/2", "other/1")) assertNull(IntentCodec.slot(key), key)
+    }
+
+    @Test
+    fun `a slot that cannot be read is never used`() {
+        val log = IntentLog.empty(slotCount = 2).reload(listOf(Item("duty/0", Fields(mapOf("state" to "odd")), 7)))
+        assertEquals(setOf(0), log.unreadable)
+        assertEquals(1, log.freeSlot())
+        assertNull(log.reserve(1).freeSlot())
+    }
+
+    @Test
+    fun `settings are checked, and the file in deploy is fine`() {
+        val shipped = DutySettings.read(Path.of("deploy/duties.toml"))
+        assertEquals(listOf(128, 30_000_000L, emptySet<Duty>()), listOf(shipped.slots, shipped.adoptMicros, shipped.suspended))
+        assertEquals(setOf(Duty.RENT, Duty.CLEAN_UP), read("suspended = [\"rent\", \"clean-up\"]").suspended)
+        for (wrong in listOf(
+            "slots = 15",
+            "slots = 1001",
+            "adopt_within_s = 0.5",
+            "suspended = [\"sell\"]",
+            "slot = 20",
+            "slots = \"x\"",
+        )) {
+            assertThrows(MalformedException::class.java, { read(wrong) }, wrong)
+        }
+        val file = Files.createTempFile("duties", ".toml")
+        Files.writeString(file, "[duty]\n")
+        val refusal = assertThrows(SettingsException::class.java) { DutySettings.read(file) }
+        assertTrue("duty: is not a setting" in refusal.message!!, refusal.message)
+        Files.delete(file)
+    }
+
+    private fun read(text: String) = DutySettings.from(SettingsReader.table(text))
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/loopback/DutyLoopbackTest.kt
@@ -0,0 +1,93 @@
+package linemast.loopback
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import linemast.duties.IntentCodec
+import linemast.duties.OrderHistoryAudit
+import linemast.simulation.SimJob
+import linemast.simulation.SimWorld
+import linemast.simulation.leaderOf
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+
+/**
+ * A measurement, not part of CI: real processes on loopback, of which the holder of the duties is stopped and continued
+ * (SIGSTOP, SIGCONT) again and again. See docs/operating-duties.md for how to run it.
+ */
+@Tag("loopback")
+class DutyLoopbackTest {
+    private val seed = Integer.getInteger("linemast.seed", 1)
+    private val freezes = Integer.getInteger("linemast.freezes", 20)
+
+    private val options = LoopbackOptions(
+        seed = seed,
+        arguments = listOf("--duties", "deploy/duties.toml"),
+        policy = "return { leader_hold_s = 1, idle_return_s = 1.5, short_interval_s = 1 }",
+        standing = 1,
+        mostMachines = 12,
+    )
+
+    @Test
+    fun `no order of a stale holder in hundreds of freezes`() {
+        val cluster = LoopbackCluster(options)
+        val terms = HashSet<Long>()
+        var frozen = 0
+        var afterCommit = 0
+        cluster.play {
+            val world = cluster.world
+            launch { submitForEver(world) }
+            assertTrue(cluster.await(20_000) { world.starts > 0 }, "nothing was started")
+            world.cloud.lateOrders = 0.05
+
+            fun freezeFor(at: Int, millis: Long) {
+                frozen++
+                cluster.freeze(at)
+                launch {
+                    delay(millis)
+                    cluster.thaw(at)
+                }
+            }
+            // Between the commit of an intent and the call: the answer to the commit waits in the socket meanwhile.
+            world.store.onApplied = { node, writes ->
+                val intents = writes.filter { IntentCodec.slot(it.key) != null }
+                if (intents.isNotEmpty() && world.random.nextBoolean()) {
+                    afterCommit++
+                    freezeFor(node.removePrefix("mast-").toInt(), world.random.nextLong(500, 4_000))
+                }
+            }
+            while (frozen < freezes) {
+                delay(world.random.nextLong(3_000, 8_000))
+                val holder = leaderOf(world)
+                if (holder >= 0) freezeFor(holder, world.random.nextLong(300, 4_000))
+                world.store.valueOf("leader")?.let { terms += it.long("helm") }
+            }
+            world.store.onApplied = { _, _ -> }
+            delay(20_000)
+        }
+        val world = cluster.world
+        val audit = OrderHistoryAudit(world)
+        val orders = world.cloud.orders
+        println(
+            "seed $seed: $frozen freezes ($afterCommit just after the commit of an intent), ${terms.size} terms, ${orders.size} orders " +
+                "(${orders.count { it.rental != null }} rentals, ${orders.count { it.returned.isNotEmpty() }} returns), " +
+                "${audit.lateOrders()} carried out after the term that decided them, ${audit.faults().size} of a stale holder; " +
+                "${world.starts} starts, ${world.jobs.values.count { it.told == "done" }} of ${world.jobs.size} jobs done",
+        )
+        assertEquals(emptyList<Any>(), audit.faults().map { (order, fault) -> "$fault: ${order.rental ?: order.returned}" })
+        assertEquals(emptyList<String>(), world.broken)
+        assertTrue(orders.size >= frozen / 4, "only ${orders.size} orders")
+    }
+
+    private suspend fun CoroutineScope.submitForEver(world: SimWorld) {
+        var number = 0
+        while (true) {
+            val id = "req-70%04d".format(++number)
+            val team = if (number % 2 == 0) "north" else "south"
+            world.user(SimJob(id, team, 6 + number % 9, 2.0, false, false, false, true, 2_500_000), null)
+            delay(world.random.nextLong(6_000, 12_000))
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/loopback/StandInServers.kt
@@ -0,0 +1,124 @@
+package linemast.loopback
+
+import kotlinx.coroutines.awaitCancellation
+import linemast.cloud.Cloud
+import linemast.cloud.CloudException
+import linemast.cloud.MachineType
+import linemast.cloud.RentRequest
+import linemast.cloud.RentResult
+import linemast.state.CommitResult
+import linemast.state.Condition
+import linemast.state.Item
+import linemast.state.Store
+import linemast.state.StoreException
+import linemast.state.WatchResult
+import linemast.state.Write
+import linemast.wire.Cbor
+import linemast.wire.Fields
+import linemast.wire.HttpRequest
+import linemast.wire.HttpResponse
+
+/** The stand-in of the state service behind its protocol, as one controller reaches it. */
+internal class StoreServer(private val store: Store) {
+    suspend fun answer(request: HttpRequest): HttpResponse = try {
+        route(request)
+    } catch (e: StoreException) {
+        if (e.mayHaveRun) awaitCancellation()
+        HttpResponse(503)
+    }
+
+    private suspend fun route(request: HttpRequest): HttpResponse {
+        val path = request.path
+        val query = request.query.split('&').associate { it.substringBefore('=') to it.substringAfter('=', "") }
+        return when {
+            path == "/keys" -> list(query)
+            path.startsWith("/keys/") -> get(path.removePrefix("/keys/"))
+            path == "/commit" -> commit(Cbor.decodeMap(request.body))
+            path == "/follow" -> watch(query)
+            path == "/holds" -> HttpResponse.of(200, "hold" to store.openLease(Cbor.decodeMap(request.body).long("life_ms") * 1_000))
+            path.endsWith("/renew") -> HttpResponse(if (store.renewLease(path.split('/')[2].toLong())) 200 else 404)
+            else -> HttpResponse(200).also { store.endLease(path.substringAfterLast('/').toLong()) }
+        }
+    }
+
+    private fun pair(item: Item) = mapOf("k" to item.key, "v" to item.value.map, "stamp" to item.version)
+
+    private suspend fun get(key: String): HttpResponse {
+        val item = store.get(key) ?: return HttpResponse.of(404, "era" to 0)
+        return HttpResponse(200, Cbor.encode(pair(item)))
+    }
+
+    private suspend fun list(query: Map<String, String>): HttpResponse {
+        val page = store.list(query.getValue("under"), query["after"])
+        return HttpResponse.of(200, "pairs" to page.items.map(::pair), "truncated" to page.truncated, "era" to page.revision)
+    }
+
+    private suspend fun commit(body: Fields): HttpResponse {
+        val conditions = body.children("when").map { Condition(it.text("k"), it.long("stamp")) }
+        val writes = body.children("writes").map { write ->
+            write.textOrNull("drop")?.let { Write.Drop(it) } ?: Write.Put(write.text("put"), write.child("v").map, write.longOrNull("hold"))
+        }
+        return when (val result = store.commit(conditions, writes)) {
+            is CommitResult.Applied -> HttpResponse.of(200, "era" to result.revision)
+            is CommitResult.Conflict -> HttpResponse.of(409, "failed" to result.failed, "era" to 0)
+            is CommitResult.NoSuchLease -> HttpResponse.of(400, "error" to "no such lease")
+        }
+    }
+
+    private suspend fun watch(query: Map<String, String>): HttpResponse {
+        val result = store.watch(query.getValue("under"), query.getValue("after").toLong(), query.getValue("wait_ms").toLong() * 1_000)
+        if (result !is WatchResult.Changes) return HttpResponse(410)
+        val news = result.changes.map { change ->
+            val value = change.value
+            if (value == null) {
+                mapOf("drop" to change.key, "stamp" to change.version)
+            } else {
+                pair(Item(change.key, value, change.version))
+                    .let { it - "k" + ("put" to change.key) }
+            }
+        }
+        return HttpResponse.of(200, "era" to result.revision, "news" to news)
+    }
+}
+
+/** The stand-in of the cloud behind its protocol, as one controller reaches it. */
+internal class CloudServer(private val cloud: Cloud) {
+    suspend fun answer(request: HttpRequest): HttpResponse = when {
+        request.path == "/machine_types" -> HttpResponse(200, Cbor.encode(MachineType.toMap(cloud.types())))
+        request.path == "/machines/return" -> giveBack(Cbor.decodeMap(request.body).textsOrNull("rigs")!!)
+        request.method == "POST" -> rent(Cbor.decodeMap(request.body))
+        else -> list()
+    }
+
+    private suspend fun list(): HttpResponse {
+        val rigs = cloud.machines().map {
+            mapOf(
+                "name_id" to it.name,
+                "addr" to it.addr,
+                "build" to it.machineType,
+                "yard" to it.zone,
+                "loaners" to it.spot,
+                "status" to it.status,
+                "age_s" to it.ageMicros / 1e6,
+            )
+        }
+        return HttpResponse.of(200, "rigs" to rigs, "truncated" to false)
+    }
+
+    private suspend fun rent(body: Fields): HttpResponse {
+        val request =
+            RentRequest(body.text("charter"), body.text("build"), body.text("yard"), body.flag("loaners"), body.long("number").toInt())
+        return when (val result = cloud.rent(request)) {
+            is RentResult.Rented -> HttpResponse.of(200, "rigs" to result.names)
+            RentResult.NoCapacity -> HttpResponse.of(503, "error" to "no capacity")
+            RentResult.Unknown -> HttpResponse.of(503, "error" to "trouble")
+        }
+    }
+
+    private suspend fun giveBack(names: List<String>): HttpResponse = try {
+        cloud.giveBack(names)
+        HttpResponse.of(200)
+    } catch (e: CloudException) {
+        HttpResponse.of(503, "error" to "trouble")
+    }
+}
--- a/src/test/kotlin/linemast/simulation/SimCloud.kt
+++ b/src/test/kotlin/linemast/simulation/SimCloud.kt
@@ -1,6 +1,7 @@
 package linemast.simulation
 
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import linemast.cloud.Cloud
 import linemast.cloud.CloudException
 import linemast.cloud.ListedMachine
@@ -8,47 +9,104 @@
 import linemast.cloud.RentRequest
 import linemast.cloud.RentResult
 
-/** Stand-in of the cloud: a list that lags, rentals up to a capacity, returns that are final. */
-class SimCloud(private val world: SimWorld, private val types: List<MachineType>) : Cloud {
+/** An order that the cloud has carried out, with the store's revision at that moment. */
+class SimOrder(
+    val node: Int,
+    val rental: RentRequest?,
+    val returned: List<String>,
+    val revision: Long,
+    val interrupted: List<SimWorker.Task>,
+)
+
+/** Stand-in of the cloud: a list that lags, rentals up to a capacity, returns that are final, orders that come late. */
+class SimCloud(private val world: SimWorld, private val types: List<MachineType>) {
     private class Snapshot(val micros: Long, val machines: List<ListedMachine>)
 
     private val history = ArrayList<Snapshot>()
     private val requestCount = HashMap<String, List<String>>()
 
-    override suspend fun types(): List<MachineType> {
-        delay(LATENCY_MILLIS)
-        return types
-    }
+    /** All orders that were carried out. */
+    val orders = ArrayList<SimOrder>()
+
+    /** Share of orders that get no answer and are carried out later, after a time within [lateMillis]. */
+    var lateOrders = 0.0
+    var lateMillis = 0L..20_000L
+
+    /** Told which controller is about to send an order, and whether that is a return. */
+    var onOrder: (node: Int, isReturn: Boolean) -> Unit = { _, _ -> }
+
+    /** Share of orders that are carried out and whose answer is lost. */
+    var lostAnswers = 0.05
+
+    /** The cloud as the controller [node] reaches it. */
+    fun clientOf(node: Int): Cloud = Client(node)
 
-    override suspend fun machines(): List<ListedMachine> {
-        delay(LATENCY_MILLIS)
+    private fun list(): List<ListedMachine> {
         val now = world.clock.nowMicros()
         history += Snapshot(now, world.workers.values.map { it.listed(now) })
         history.removeIf { it.micros < now - 60_000_000 }
         return (history.lastOrNull { it.micros <= now - LAG_MICROS } ?: history.first()).machines
     }
 
-    override suspend fun rent(request: RentRequest): RentResult {
-        delay(LATENCY_MILLIS)
+    private fun rent(node: Int, request: RentRequest): RentResult {
         requestCount[request.requestId]?.let { return RentResult.Rented(it) }
         val room = world.mostMachines - world.workers.size
         if (room <= 0) return RentResult.NoCapacity
         val type = types.first { it.name == request.machineType }
         val names = List(minOf(room, request.number)) { world.addMachine(type, request.zone, request.spot).name }
         requestCount[request.requestId] = names
-        if (world.random.nextDouble() < LOST_ANSWERS) return RentResult.Unknown
+        orders += SimOrder(node, request, emptyList(), world.store.revision, emptyList())
         return RentResult.Rented(names)
     }
 
-    override suspend fun giveBack(names: List<String>) {
-        delay(LATENCY_MILLIS)
-        names.forEach(world::removeMachine)
-        if (world.random.nextDouble() < LOST_ANSWERS) throw CloudException("no answer")
+    private fun giveBack(node: Int, names: List<String>) {
+        val known = names.filter { it in world.workers }
+        val interrupted = known.flatMap { world.workers.getValue(it).tasks.values }.filter { it.status != "ended" }
+        if (known.isNotEmpty()) orders += SimOrder(node, null, known, world.store.revision, interrupted)
+        known.forEach(world::removeMachine)
+    }
+
+    private inner class Client(private val node: Int) : Cloud {
+        /** An order leaves a controller that stands still only when it goes on, and may then be held up on its way. */
+        private suspend fun <T> order(isReturn: Boolean, carryOut: () -> T): T {
+            onOrder(node, isReturn)
+            world.awaitThaw(node)
+            if (lateOrders > 0 && world.random.nextDouble() < lateOrders) {
+                world.scope.launch {
+                    delay(lateMillis.random(world.random))
+                    carryOut()
+                }
+                delay(TIMEOUT_MILLIS)
+                throw CloudException("no answer")
+            }
+            delay(LATENCY_MILLIS)
+            val result = carryOut()
+            if (world.random.nextDouble() < lostAnswers) throw CloudException("no answer")
+            return result
+        }
+
+        override suspend fun types(): List<MachineType> {
+            delay(LATENCY_MILLIS)
+            return types
+        }
+
+        override suspend fun machines(): List<ListedMachine> {
+            delay(LATENCY_MILLIS)
+            return list()
+        }
+
+        override suspend fun rent(request: RentRequest): RentResult = try {
+            order(isReturn = false) { rent(node, request) }
+        } catch (e: CloudException) {
+            RentResult.Unknown
+        }
+
+        override suspend fun giveBack(names: List<String>) = order(isReturn = true) { giveBack(node, names) }
     }
 
     private companion object {
         const val LATENCY_MILLIS = 100L
+        const val TIMEOUT_MILLIS = 5_000L
         const val LAG_MICROS = 5_000_000L
-        const val LOST_ANSWERS = 0.05
     }
 }
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -32,7 +32,14 @@
     private val entries = sortedMapOf<String, Entry>()
     private val leases = HashMap<Long, Lease>()
     private val changes = ArrayList<Change>()
-    private var revision = 1L
+    var revision = 1L
+        private set
+
+    /** Told of each transaction that a controller's own call has carried out, before the answer leaves. */
+    var onApplied: (node: String, writes: List<Write>) -> Unit = { _, _ -> }
+
+    /** Every change that was carried out, in its order. */
+    val history: List<Change> get() = changes
     private var nextLease = 0L
     var outage = false
         private set
@@ -146,6 +153,7 @@
                 throw StoreException("no answer", mayHaveRun = true)
             }
             val result = apply(conditions, writes)
+            if (result is CommitResult.Applied) onApplied(node, writes)
             if (random.nextDouble() < repeats) {
                 scope.launch {
                     delay(random.nextLong(60_000))
--- a/src/test/kotlin/linemast/simulation/SimWorker.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -22,6 +22,9 @@
         var cause: String? = null
         var readyMicros = 0L
         var endMicros = 0L
+
+        /** Revision of the store when it was started. */
+        var startRevision = 0L
     }
 
     private val random get() = world.random
@@ -215,6 +218,7 @@
             "start" -> if (key !in tasks) {
                 val task = Task(job, index, attempt)
                 task.readyMicros = world.clock.nowMicros() + random.nextLong(200_000, 2_000_000)
+                task.startRevision = world.store.revision
                 world.checkStart(this, task)
                 tasks[key] = task
             }
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -10,6 +10,7 @@
 import linemast.app.Node
 import linemast.cloud.MachineType
 import linemast.planning.Policy
+import linemast.settings.Features
 import linemast.settings.Settings
 import linemast.wire.Cbor
 import linemast.wire.Clock
@@ -63,6 +64,8 @@
     /** Standing machines, and how many there can be in all. */
     private val standing: Int = 6,
     val mostMachines: Int = 12,
+    private val features: Features = Features(),
+    private val policy: Policy = Policy(),
 ) {
     val random = Random(seed)
     val workers = LinkedHashMap<String, SimWorker>()
@@ -95,7 +98,7 @@
         frozenUntilMicros[at] = clock.nowMicros() + micros
     }
 
-    private suspend fun awaitThaw(at: Int) {
+    internal suspend fun awaitThaw(at: Int) {
         while (clock.nowMicros() < frozenUntilMicros[at]) delay((frozenUntilMicros[at] - clock.nowMicros()) / 1_000 + 1)
     }
 
@@ -108,16 +111,22 @@
     val cutFromWorkers = HashSet<Int>()
     var starts = 0
         private set
-    private val cloud = SimCloud(this, types)
+    val cloud = SimCloud(this, types)
+
+    /** What each controller's clock reads; they may run at different speeds. */
+    var clockOf: (Int) -> Clock = { clock }
     private val nodes = arrayOfNulls<Node>(3)
     private val nodeScopes = arrayOfNulls<CoroutineScope>(3)
     private var machineCount = 0
     private val teams = settings("mast-0").teams.associateBy { it.name }
     private val cancelMicros = settings("mast-0").workers.cancelMicros
 
+    /** Takes requests to controllers that run elsewhere; without it they run here. */
+    var transport: (suspend (at: Int, request: HttpRequest) -> HttpResponse?)? = null
+
     fun begin() {
         repeat(standing) { addMachine(types[it % types.size], if (it % 2 == 0) "a" else "b", spot = false) }
-        repeat(3) { startNode(it) }
+        if (transport == null) repeat(3) { startNode(it) }
         scope.launch {
             while (true) {
                 delay(500)
@@ -154,7 +163,16 @@
         val nodeScope = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
         val name = "mast-$at"
         val client = store.clientOf(name).let { if (at in oldNodes) PreviousVersionStore(it) else it }
-        val node = Node(settings(name), Policy(), client, cloud, clock, clock::nowMicros, nodeScope)
+        val node = Node(
+            settings(name),
+            policy,
+            client,
+            cloud.clientOf(at),
+            clockOf(at),
+            clock::nowMicros,
+            nodeScope,
+            features = features,
+        )
         nodeScopes[at] = nodeScope
         nodes[at] = node
         node.start()
@@ -185,6 +203,7 @@
             delay(4_000)
             return null
         }
+        transport?.let { return it(at, HttpRequest(method, path, "", body)) }
         awaitThaw(at)
         val node = nodes[at] ?: return null
         val response = try {
--- a/src/test/kotlin/linemast/simulation/Simulation.kt
+++ b/src/test/kotlin/linemast/simulation/Simulation.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import linemast.cloud.MachineType
+import linemast.planning.Policy
+import linemast.settings.Features
 import linemast.settings.Settings
 import linemast.settings.SettingsReader
 import linemast.wire.Clock
@@ -20,6 +22,9 @@
     seed: Int,
     controllersLeaseSeconds: Double = LEASE_SECONDS,
     size: Int = 1,
+    standing: Int = 6 * size,
+    features: Features = Features(),
+    policy: Policy = Policy(),
     before: (SimWorld) -> Unit = {},
     script: suspend TestScope.(SimWorld) -> Unit,
 ): SimWorld {
@@ -33,8 +38,10 @@
             { settings(it, controllersLeaseSeconds, size) },
             TYPES,
             (LEASE_SECONDS * 1e6).toLong(),
-            standing = 6 * size,
+            standing = standing,
             mostMachines = 12 * size,
+            features = features,
+            policy = policy,
         )
         before(world)
         world.begin()
