Fair admission under overload: all controllers admit by one plan of the leader

Need: with one team flooding, each controller's tokens for the state service went to whoever asked most often, controllers decided each for itself, and thousands of jobs that had waited for a minute all went first.

Change: package admission. Controllers tell their demand by team and class; the leader divides what can be taken by max-min fairness and commits, by epoch, which arc of the circle of job ids each limited flow admits. A controller decides by plan and id alone and answers 429 at once with when the turn comes.

--- /dev/null
+++ b/src/main/kotlin/linemast/admission/AdmissionCodec.kt
@@ -0,0 +1,62 @@
+package linemast.admission
+
+import linemast.wire.Fields
+
+/** What one controller tells the leader of the submissions that reach it. */
+class DemandReport(val node: String, val demands: Map<Flow, FlowDemand>)
+
+/** The stored forms of plans and demand reports. Names in the store occur only here. */
+object AdmissionCodec {
+    /** Key of the plan in force. */
+    const val PLAN_KEY = "admission/plan"
+
+    /** Keys of the controllers' demand reports begin so. */
+    const val DEMAND_PREFIX = "admission/demand/"
+
+    /** Key of the demand report of [node]. */
+    fun demandKey(node: String): String = DEMAND_PREFIX + node
+
+    /** The stored form of [plan]. */
+    fun encode(plan: AdmissionPlan): Map<String, Any?> = mapOf(
+        "epoch" to plan.epoch,
+        "helm" to plan.fencingToken,
+        "flows" to plan.arcs.entries.sortedBy { it.key }.map { (flow, arc) ->
+            flowFields(flow) + mapOf("head" to arc.head, "width" to arc.width, "pace" to arc.pace)
+        },
+    )
+
+    /** Reads a plan; throws a `MalformedException` for anything else. */
+    fun decodePlan(fields: Fields) = AdmissionPlan(
+        epoch = fields.long("epoch"),
+        fencingToken = fields.long("helm"),
+        arcs = fields.children("flows").associate { flow(it) to arc(it) },
+    )
+
+    private fun arc(fields: Fields): AdmissionArc {
+        val arc = AdmissionArc(fields.long("head"), fields.long("width"), fields.long("pace"))
+        if (arc.head !in 0 until IdCircle.SIZE) fields.fail("head", "is not a point of the circle")
+        if (arc.width !in 0..IdCircle.SIZE) fields.fail("width", "is not an arc of the circle")
+        if (arc.pace !in 1..IdCircle.SIZE) fields.fail("pace", "must be at least 1")
+        return arc
+    }
+
+    /** The stored form of [report]. */
+    fun encode(report: DemandReport): Map<String, Any?> = mapOf(
+        "node" to report.node,
+        "flows" to report.demands.entries.sortedBy { it.key }.map { (flow, demand) ->
+            flowFields(flow) + mapOf("offered" to demand.offered, "accepted" to demand.accepted, "waiting" to demand.waiting)
+        },
+    )
+
+    /** Reads a demand report; throws a `MalformedException` for anything else. */
+    fun decodeDemand(fields: Fields) = DemandReport(
+        node = fields.text("node"),
+        demands = fields.children("flows").associate {
+            flow(it) to FlowDemand(it.number("offered"), it.number("accepted"), it.long("waiting").toInt())
+        },
+    )
+
+    private fun flowFields(flow: Flow): Map<String, Any?> = mapOf("crew" to flow.team, "lane" to flow.jobClass)
+
+    private fun flow(fields: Fields) = Flow(fields.text("crew"), fields.text("lane"))
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/admission/AdmissionPlan.kt
@@ -0,0 +1,40 @@
+package linemast.admission
+
+/** What a controller does with a new submission. */
+sealed interface Decision {
+    /** It is taken. */
+    data object Admitted : Decision
+
+    /** It is not taken now; asked again after [seconds] it will be, unless the flow grows meanwhile. */
+    data class Later(val seconds: Int) : Decision
+}
+
+/**
+ * What all controllers admit, as the leader has last decided it. Flows without an arc are not limited.
+ *
+ * A decision follows from the plan and the submission alone, not from anything that a controller has counted. So two
+ * controllers with the same epoch never decide differently.
+ */
+data class AdmissionPlan(
+    /** Counts the plans of a term. */
+    val epoch: Long,
+    /** The term that made it. */
+    val fencingToken: Long,
+    val arcs: Map<Flow, AdmissionArc>,
+) {
+    /** What to do with the submission of [id] in [flow]. */
+    fun decide(flow: Flow, id: String): Decision {
+        val arc = arcs[flow] ?: return Decision.Admitted
+        val point = IdCircle.pointOf(id)
+        if (arc.contains(point)) return Decision.Admitted
+        return Decision.Later(arc.secondsUntil(point).coerceIn(1, MOST_RETRY_SECONDS).toInt())
+    }
+
+    companion object {
+        /** Users wait for no longer, whatever they are told. */
+        private const val MOST_RETRY_SECONDS = 30L
+
+        /** Everything is admitted. */
+        val UNLIMITED = AdmissionPlan(0, 0, emptyMap())
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/admission/AdmissionSettings.kt
@@ -0,0 +1,53 @@
+package linemast.admission
+
+import linemast.settings.FeatureFile
+import linemast.settings.StateLimits
+import linemast.wire.Fields
+import linemast.wire.SECOND_MICROS
+import java.nio.file.Path
+
+/** The operators' settings of fair admission; the values here hold for what a file leaves out. */
+class AdmissionSettings(
+    /** Between two plans of the leader while some flow is limited. */
+    val epochMicros: Long = DEFAULT_EPOCH_MICROS,
+    /** For how long an id stays admitted once it had its turn, so that its user can come back a little late. */
+    val dwellMicros: Long = DEFAULT_DWELL_MICROS,
+    /** Part of the changes that the state service takes which submissions may use. */
+    val intakeShare: Double = DEFAULT_INTAKE_SHARE,
+    /** Unfinished jobs at one time, beyond which flows with more than their fair part of them are held back. */
+    val mostOpenJobs: Int = DEFAULT_OPEN_JOBS,
+) {
+    /** Submissions a second that the state service has room for: each one changes two keys. */
+    fun capacity(limits: StateLimits): Double {
+        val changes = minOf(limits.writeRps, limits.next?.writeRps ?: limits.writeRps)
+        return changes * intakeShare / CHANGES_A_JOB
+    }
+
+    companion object {
+        private const val DEFAULT_EPOCH_MICROS = 2 * SECOND_MICROS
+        private const val DEFAULT_DWELL_MICROS = 12 * SECOND_MICROS
+        private const val DEFAULT_INTAKE_SHARE = 0.5
+        private const val DEFAULT_OPEN_JOBS = 6_000
+        private const val CHANGES_A_JOB = 2
+        private const val MOST_EPOCH_SECONDS = 10.0
+        private const val LEAST_DWELL_SECONDS = 5.0
+        private const val MOST_DWELL_SECONDS = 60.0
+        private const val LEAST_SHARE = 0.05
+        private const val LEAST_OPEN_JOBS = 100
+        private const val MOST_OPEN_JOBS = 20_000
+
+        /** Reads and checks the file that enables fair admission. */
+        fun read(path: Path): AdmissionSettings = FeatureFile.read(path, "admission", ::from)
+
+        /** Reads and checks the table of settings. */
+        fun from(fields: Fields): AdmissionSettings {
+            FeatureFile.refuseUnknown(fields, setOf("epoch_s", "dwell_s", "intake_share", "most_open_jobs"))
+            return AdmissionSettings(
+                epochMicros = FeatureFile.seconds(fields, "epoch_s", 1.0, MOST_EPOCH_SECONDS) ?: DEFAULT_EPOCH_MICROS,
+                dwellMicros = FeatureFile.seconds(fields, "dwell_s", LEAST_DWELL_SECONDS, MOST_DWELL_SECONDS) ?: DEFAULT_DWELL_MICROS,
+                intakeShare = FeatureFile.number(fields, "intake_share", LEAST_SHARE, 1.0) ?: DEFAULT_INTAKE_SHARE,
+                mostOpenJobs = FeatureFile.count(fields, "most_open_jobs", LEAST_OPEN_JOBS..MOST_OPEN_JOBS) ?: DEFAULT_OPEN_JOBS,
+            )
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/admission/IdCircle.kt
@@ -0,0 +1,35 @@
+package linemast.admission
+
+import java.util.zip.CRC32
+
+/**
+ * Job ids as points of a circle, the same at every controller.
+ *
+ * A limited flow admits the ids in an arc of the circle whose head moves on: each id gets its turn once in a round,
+ * and how far away that is can be told from the point alone.
+ */
+object IdCircle {
+    /** Points of the circle. */
+    const val SIZE = 1L shl 32
+
+    /** The point of [id]. */
+    fun pointOf(id: String): Long = CRC32().apply { update(id.encodeToByteArray()) }.value
+
+    /** How far [to] lies ahead of [from]. */
+    fun distance(from: Long, to: Long): Long = Math.floorMod(to - from, SIZE)
+
+    /** The point [distance] ahead of [from]. */
+    fun ahead(from: Long, distance: Long): Long = Math.floorMod(from + distance, SIZE)
+}
+
+/** The ids that a limited flow admits: those from [width] behind the [head] up to it; the head moves on by [pace] each second. */
+data class AdmissionArc(val head: Long, val width: Long, val pace: Long) {
+    /** Whether [point] lies in the arc. */
+    fun contains(point: Long): Boolean = IdCircle.distance(point, head) <= width
+
+    /** Whole seconds until the head reaches [point]. */
+    fun secondsUntil(point: Long): Long = (IdCircle.distance(head, point) + pace - 1) / pace
+
+    /** The arc [micros] later. */
+    fun after(micros: Long): AdmissionArc = copy(head = IdCircle.ahead(head, (pace * (micros / 1e6)).toLong().coerceAtMost(IdCircle.SIZE)))
+}
--- a/src/main/kotlin/linemast/app/Main.kt
+++ b/src/main/kotlin/linemast/app/Main.kt
@@ -1,5 +1,6 @@
 package linemast.app
 
+import linemast.admission.AdmissionSettings
 import linemast.duties.DutySettings
 import linemast.planning.Policy
 import linemast.settings.Features
@@ -53,6 +54,10 @@
         OptionSpec.builder("--duties").paramLabel("FILE").type(Path::class.java)
             .description("Enables single-holder duties (TOML); see docs/operating-duties.md.").build(),
     )
+    spec.addOption(
+        OptionSpec.builder("--admission").paramLabel("FILE").type(Path::class.java)
+            .description("Enables fair admission (TOML); see docs/operating-admission.md.").build(),
+    )
     spec.addOption(flag("--actions", "Print the latest actions at the cloud from the store, audited, and exit."))
     spec.addOption(
         OptionSpec.builder("--actions-html").paramLabel("FILE").type(Path::class.java)
@@ -87,7 +92,10 @@
     val features: Features
     try {
         settings = SettingsReader.read(file)
-        features = Features(duties = parsed.matchedOptionValue<Path?>("--duties", null)?.let(DutySettings::read))
+        features = Features(
+            duties = parsed.matchedOptionValue<Path?>("--duties", null)?.let(DutySettings::read),
+            admission = parsed.matchedOptionValue<Path?>("--admission", null)?.let(AdmissionSettings::read),
+        )
         policy = parsed.matchedOptionValue<Path?>("--policy", null)?.let(PolicyScript::read) ?: Policy()
     } catch (e: SettingsException) {
         System.err.println("linemast: ${e.message}")
--- a/src/main/kotlin/linemast/app/Node.kt
+++ b/src/main/kotlin/linemast/app/Node.kt
@@ -6,6 +6,10 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import linemast.admission.AdmissionFollower
+import linemast.admission.AdmissionGate
+import linemast.admission.AdmissionPlan
+import linemast.admission.FlowClassifier
 import linemast.cloud.Cloud
 import linemast.cloud.CloudException
 import linemast.cloud.MachineType
@@ -59,6 +63,8 @@
 
     /** When a worker last reported here. */
     private var reportedMicros = Long.MIN_VALUE / 2
+    private val flows = FlowClassifier(settings.objectives)
+    private val admissionGate = features.admission?.let { AdmissionGate(flows, clock) }
     private val jobService = JobService(
         store = store,
         scope = scope,
@@ -69,8 +75,12 @@
         mostValueBytes = settings.stateLimits.mostValueBytes,
         clock = clock,
         cancelMicros = settings.workers.cancelMicros,
+        admission = admissionGate,
     )
 
+    /** The plan by which this controller admits submissions; null without fair admission. */
+    val admissionPlan: AdmissionPlan? get() = admissionGate?.plan
+
     /** Starts the long-lived duties in the node's scope. */
     fun start() {
         scope.launch { learnTypes() }
@@ -86,6 +96,14 @@
             onLost = ::stopLeader,
         )
         scope.launch { election.run() }
+        startAdmission()
+    }
+
+    private fun startAdmission() {
+        val admission = features.admission ?: return
+        val gate = admissionGate ?: return
+        val quietRate = admission.capacity(settings.stateLimits) / (settings.controllers * QUIET_PARTS)
+        AdmissionFollower(store, gate, admission, settings.nodeName, settings.stateLimits.mostValueBytes, quietRate).start(scope)
     }
 
     private fun startLeader(authority: Authority) {
@@ -190,6 +208,9 @@
 
     private companion object {
         const val RETRY_MILLIS = 500L
+
+        /** Below this part of its part of what can be taken a controller has no demand to tell of. */
+        const val QUIET_PARTS = 2
         const val WORKERS_ASK_MICROS = 2_000_000L
 
         /** Longer than news of an outage takes from the others: a second between questions, one between frames. */
--- a/src/main/kotlin/linemast/app/Rehearsal.kt
+++ b/src/main/kotlin/linemast/app/Rehearsal.kt
@@ -4,8 +4,10 @@
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import linemast.admission.AdmissionSettings
 import linemast.duties.DutySettings
 import linemast.planning.Policy
+import linemast.settings.FeatureFile
 import linemast.settings.Features
 import linemast.settings.Settings
 import linemast.settings.SettingsReader
@@ -37,7 +39,7 @@
             val settings = settings(outside)
             val store = RehearsalStore()
             launch { HttpServer(loop, outside, 64, store::answer).serve(this) }
-            launch { Controller(settings, Policy(), Features(duties = DutySettings()), loop).run() }
+            launch { Controller(settings, Policy(), features(), loop).run() }
             play(HttpClient(loop, settings.serveOn, 4))
             coroutineContext.cancelChildren()
         }
@@ -75,6 +77,12 @@
         ),
     )
 
+    /** Read as from files, so that the classes for that are in the archive too. */
+    private fun features() = Features(
+        duties = FeatureFile.parse("[duties]\nslots = 32\n", "duties", DutySettings::from),
+        admission = FeatureFile.parse("[admission]\nepoch_s = 1.0\n", "admission", AdmissionSettings::from),
+    )
+
     private fun settings(outside: Address): Settings = SettingsReader.parse(
         """
         node_name = "rehearsal"
--- a/src/main/kotlin/linemast/duties/IntentRunner.kt
+++ b/src/main/kotlin/linemast/duties/IntentRunner.kt
@@ -83,7 +83,9 @@
 
     private companion object {
         const val RETRY_MILLIS = SECOND_MICROS / 1_000
-        const val MOST_PAUSE_MILLIS = 8 * RETRY_MILLIS
+
+        /** Returns that pile up in an outage of the cloud must not use up the calls that it takes afterwards. */
+        const val MOST_PAUSE_MILLIS = 16 * RETRY_MILLIS
         const val AUTHORITY_MILLIS = 100L
     }
 }
--- a/src/main/kotlin/linemast/jobs/JobService.kt
+++ b/src/main/kotlin/linemast/jobs/JobService.kt
@@ -1,10 +1,13 @@
 package linemast.jobs
 
 import kotlinx.coroutines.CoroutineScope
+import linemast.admission.AdmissionGate
+import linemast.admission.Decision
 import linemast.cloud.MachineType
 import linemast.settings.Team
 import linemast.state.CommitResult
 import linemast.state.Condition
+import linemast.state.Item
 import linemast.state.Priority
 import linemast.state.Store
 import linemast.state.StoreException
@@ -45,6 +48,8 @@
     private val clock: Clock,
     /** Time that a cancellation has to reach the jobs that depend on the cancelled one. */
     cancelMicros: Long,
+    /** Puts submissions off that are more than their flow's part; null if all are taken. */
+    private val admission: AdmissionGate? = null,
 ) {
     private val log = LoggerFactory.getLogger(JobService::class.java)
     private val verdicts = VerdictReader(store, scope, clock, cancelMicros / MAX_AGE_PARTS)
@@ -79,12 +84,28 @@
             val verdict = verdicts.fresh(spec.id)
             return if (verdict != null) answer(spec.id, verdict) else refused("this job can never run")
         }
-        if (spec.dependencies.isEmpty()) return accept(spec.within(machineTypes), Verdict.OPEN)
+        if (spec.dependencies.isEmpty()) return putOff(spec) ?: accept(spec.within(machineTypes), Verdict.OPEN)
         // A job that was accepted once is known whatever it names.
         verdicts.fresh(spec.id)?.let { return answer(spec.id, it) }
         return submitDependent(spec.within(machineTypes))
     }
 
+    /**
+     * The answer to a submission whose turn has not come; null if it is to be taken. A job that was accepted once is known
+     * whatever is limited, and jobs that depend on others belong to what has been admitted already.
+     */
+    private suspend fun putOff(spec: JobSpec): HttpResponse? {
+        val gate = admission ?: return null
+        val later = gate.decide(spec) as? Decision.Later ?: return null
+        val known = verdicts.fresh(spec.id)
+        if (known != null) {
+            gate.accepted(spec.id)
+            return answer(spec.id, known)
+        }
+        log.debug("{}: put off for {} s", spec.id, later.seconds)
+        return HttpResponse(HttpStatus.TOO_MANY_REQUESTS, retryAfterSeconds = later.seconds)
+    }
+
     /** Accepts a job that names others: all of them have to be known, and a cancelled one among all that it needs cancels it. */
     private suspend fun submitDependent(spec: JobSpec): HttpResponse {
         if (spec.dependencies.count { !verdicts.hasRecent(it) } > MAX_SINGLE_READS) verdicts.listOpen()
@@ -115,11 +136,15 @@
         return when (result) {
             is CommitResult.Applied -> {
                 verdicts.remember(spec.id, verdictRecord, sentMicros)
+                admission?.accepted(spec.id)
                 val state = if (verdict.isFinal) JobState.CANCELLED else JobState.PENDING
                 HttpResponse(HttpStatus.CREATED, JobAnswers.accepted(spec.id, state))
             }
             is CommitResult.Conflict ->
-                verdicts.fresh(spec.id)?.let { answer(spec.id, it) } ?: HttpResponse.unavailable()
+                verdicts.fresh(spec.id)?.let {
+                    admission?.accepted(spec.id)
+                    answer(spec.id, it)
+                } ?: HttpResponse.unavailable()
             is CommitResult.NoSuchLease -> HttpResponse.unavailable()
         }
     }
@@ -152,17 +177,7 @@
             val open = (if (waits) store.get(JobKeys.waiting(id), Priority.INTAKE) else null)
                 ?: store.get(JobKeys.open(id), Priority.INTAKE) ?: return@repeat
             val cancelled = VerdictRecord(Verdict.CANCELLED, verdict.taskCount)
-            val end = if (open.key == JobKeys.waiting(id)) {
-                Write.Drop(open.key)
-            } else {
-                Write.Put(
-                    open.key,
-                    verdicts.decoded { OpenRecord.read(open) }.with(cancelled = true).let { record ->
-                        types()?.let(record::within)
-                            ?: record
-                    }.toMap(),
-                )
-            }
+            val end = if (open.key == JobKeys.waiting(id)) Write.Drop(open.key) else Write.Put(open.key, cancelledRecord(open))
             val result = store.commit(
                 listOf(Condition(item.key, item.version), Condition(open.key, open.version)),
                 listOf(Write.Put(item.key, cancelled.toMap()), end),
@@ -173,6 +188,13 @@
         return HttpResponse.unavailable()
     }
 
+    /** The record of an open job with its cancellation, from which the leader learns of it. */
+    private fun cancelledRecord(open: Item): Map<String, Any?> {
+        val record = verdicts.decoded { OpenRecord.read(open) }.with(cancelled = true)
+        val machineTypes = types() ?: return record.toMap()
+        return record.within(machineTypes).toMap()
+    }
+
     private fun known(id: String, record: VerdictRecord): HttpResponse {
         val shown = progress.progressOf(id)
         val isRunning = shown != null && shown.running > 0
--- /dev/null
+++ b/src/main/kotlin/linemast/leadership/InheritedActions.kt
@@ -0,0 +1,47 @@
+package linemast.leadership
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import linemast.cloud.Fleet
+import linemast.cloud.RentRequest
+import linemast.cloud.RentResult
+import linemast.duties.DutyHolder
+import linemast.duties.Inheritance
+import linemast.duties.InheritanceEffects
+import linemast.placement.Cluster
+import org.slf4j.LoggerFactory
+
+/** Has a new leader's state know what earlier leaders have committed to do at the cloud, before anything is decided. */
+internal class InheritedActions(
+    private val duties: DutyHolder,
+    private val cluster: Cluster,
+    private val fleet: Fleet,
+    private val cloudOperations: CloudOperations,
+    private val scope: CoroutineScope,
+    /** Runs an action on the coroutine that owns the cluster state. */
+    private val onLeaderLoop: suspend (() -> Unit) -> Unit,
+) : InheritanceEffects {
+    private val log = LoggerFactory.getLogger(InheritedActions::class.java)
+
+    /** Returns once all is read and marked; what is left to be done goes on in the leader's scope. */
+    suspend fun takeOver() {
+        while (attempt(log) { duties.load() } == null) delay(RETRY_MILLIS)
+        val inheritance = Inheritance(duties, this, onLeaderLoop)
+        cluster.markBeingReturned(inheritance.returningNames)
+        fleet.markReturning(inheritance.returningNames)
+        inheritance.rentals.forEach(fleet::adopt)
+        scope.launch { duties.run() }
+        inheritance.start(scope)
+    }
+
+    override fun isFree(machineName: String): Boolean = cluster.isFree(machineName)
+
+    override fun returned(names: List<String>) = cloudOperations.returned(names)
+
+    override fun rented(request: RentRequest, result: RentResult) = cloudOperations.rented(request, result)
+
+    private companion object {
+        const val RETRY_MILLIS = 250L
+    }
+}
--- a/src/main/kotlin/linemast/leadership/Leader.kt
+++ b/src/main/kotlin/linemast/leadership/Leader.kt
@@ -5,15 +5,15 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import linemast.admission.AdmissionLeader
+import linemast.admission.Flow
+import linemast.admission.FlowClassifier
+import linemast.admission.StartTurns
 import linemast.cloud.Cloud
 import linemast.cloud.DirectExecutor
 import linemast.cloud.Fleet
 import linemast.cloud.MachineType
-import linemast.cloud.RentRequest
-import linemast.cloud.RentResult
 import linemast.duties.DutyHolder
-import linemast.duties.Inheritance
-import linemast.duties.InheritanceEffects
 import linemast.jobs.Progress
 import linemast.jobs.Verdict
 import linemast.peers.PeerView
@@ -51,8 +51,7 @@
     private val peers: PeerView,
     types: () -> List<MachineType>?,
     features: Features = Features(),
-) : Effects,
-    InheritanceEffects {
+) : Effects {
     private val log = LoggerFactory.getLogger(Leader::class.java)
 
     /** A connection has one report under way, so that all of them have room: none is turned away for a burst. */
@@ -61,7 +60,10 @@
     private val times = TaskTimes()
     private val planner = Planner(settings, policy, times)
     private val knowledge = CancellationKnowledge(settings.workers)
-    private val cluster = Cluster(settings, authority.fencingToken, graceMicros, this, times, planner, wallMicros, clock, knowledge)
+    private val flows = FlowClassifier(settings.objectives)
+    private val startTurns = features.admission?.let { StartTurns(flows) }
+    private val cluster =
+        Cluster(settings, authority.fencingToken, graceMicros, this, times, planner, wallMicros, clock, knowledge, startTurns)
     private val fleet = Fleet(settings, policy, authority.fencingToken)
     private val provisioner = Provisioner(cluster, fleet, planner, policy)
     private val jobStore: JobStore = JobStore(
@@ -110,6 +112,10 @@
             settings.cloudLimits.rps,
             events::send,
         )
+    private val inheritedActions = duties?.let { InheritedActions(it, cluster, fleet, cloudOperations, scope, events::send) }
+    private val admission = features.admission?.let {
+        AdmissionLeader(store, clock, authority, it, it.capacity(limits), limits.mostValueBytes, ::openJobs)
+    }
     private val usageLog = UsageLog(cluster, fleet)
     private val planStore = PlanStore(store, scope, authority, planner, limits.mostValueBytes, wallMicros)
     private val storedJobs: StoredJobs =
@@ -181,32 +187,22 @@
     /** Leads until it is cancelled. */
     suspend fun run() {
         storedJobs.load()
-        duties?.let { inherit(it) }
+        inheritedActions?.takeOver()
         loaded = true
         endEarlierGraceIfKnown()
         storedJobs.watch(scope)
         scope.launch { tickRegularly() }
+        admission?.let { scope.launch { it.run() } }
         scope.launch { cloudOperations.watchMachines() }
         for (event in events) event()
     }
 
-    /** Takes over what earlier leaders have committed to do at the cloud, before anything is decided. */
-    private suspend fun inherit(duties: DutyHolder) {
-        while (attempt(log) { duties.load() } == null) delay(RETRY_MILLIS)
-        val inheritance = Inheritance(duties, this, events::send)
-        cluster.markBeingReturned(inheritance.returningNames)
-        fleet.markReturning(inheritance.returningNames)
-        inheritance.rentals.forEach(fleet::adopt)
-        scope.launch { duties.run() }
-        inheritance.start(scope)
+    private suspend fun openJobs(): Map<Flow, Int> {
+        val counts = CompletableDeferred<Map<Flow, Int>>()
+        events.send { counts.complete(cluster.jobs.values.filter { !it.finished }.groupingBy { flows.flowOf(it.spec) }.eachCount()) }
+        return counts.await()
     }
 
-    override fun isFree(machineName: String): Boolean = cluster.isFree(machineName)
-
-    override fun returned(names: List<String>) = cloudOperations.returned(names)
-
-    override fun rented(request: RentRequest, result: RentResult) = cloudOperations.rented(request, result)
-
     private suspend fun tickRegularly() {
         while (true) {
             delay(TICK_MILLIS)
@@ -244,6 +240,5 @@
 
     private companion object {
         const val TICK_MILLIS = 250L
-        const val RETRY_MILLIS = 250L
     }
 }
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -1,5 +1,6 @@
 package linemast.placement
 
+import linemast.admission.StartTurns
 import linemast.cloud.MachineType
 import linemast.jobs.OpenRecord
 import linemast.leadership.CancellationKnowledge
@@ -34,6 +35,8 @@
     val wallMicros: () -> Long,
     private val clock: Clock,
     private val knowledge: CancellationKnowledge = CancellationKnowledge(settings.workers),
+    /** Whose turn it is among jobs that have waited for long; without it all of them go first. */
+    startTurns: StartTurns? = null,
 ) {
     private val log = LoggerFactory.getLogger(Cluster::class.java)
     val jobs = LinkedHashMap<String, Job>()
@@ -55,7 +58,7 @@
 
     internal val attemptNumbers = AttemptNumbers(fencingToken)
     val usage = TeamUsage(settings.teams)
-    private val placer = Placer(this, settings)
+    private val placer = Placer(this, settings, startTurns)
 
     /** Tasks of a job that the plan books on owned machines side by side. */
     var bookings: (Job) -> Int = { 0 }
--- a/src/main/kotlin/linemast/placement/Placer.kt
+++ b/src/main/kotlin/linemast/placement/Placer.kt
@@ -1,5 +1,6 @@
 package linemast.placement
 
+import linemast.admission.StartTurns
 import linemast.cloud.MachineType
 import linemast.jobs.JobSpec
 import linemast.settings.Settings
@@ -14,7 +15,7 @@
  * Each pass forgets all choices whose command has not left yet and chooses anew: guarantees first, then
  * priority, then deadline, then age. What a pass chooses leaves with the machine's next report.
  */
-internal class Placer(private val cluster: Cluster, settings: Settings) {
+internal class Placer(private val cluster: Cluster, settings: Settings, private val startTurns: StartTurns? = null) {
     private val log = LoggerFactory.getLogger(Placer::class.java)
     private val scarce = ScarceTypes()
     private val roomMaker = RoomMaker(cluster, settings)
@@ -100,9 +101,10 @@
         }
         var mayReserve = true
         // The gang that machines are being reserved for stays the one until it has them.
-        for (job in ready.filter { it.waitsLong }.sortedBy { it !== roomMaker.reservingFor }) {
+        for (job in inTurn(ready.filter { it.waitsLong }).sortedBy { it !== roomMaker.reservingFor }) {
             if (!job.spec.isGang) {
                 placeArray(job, Int.MAX_VALUE, pass, FIRST_TASKS)
+                if (job.placements.isNotEmpty()) startTurns?.served(job)
                 continue
             }
             placeGang(job, pass)
@@ -117,6 +119,19 @@
         }
     }
 
+    /** Arrays take turns by their flow, so that a flood of them does not keep out all others; gangs keep their places. */
+    private fun inTurn(waiting: List<Job>): List<Job> {
+        val turns = startTurns ?: return waiting
+        val arrays = turns.choose(waiting.filter { !it.spec.isGang })
+        val chosen = arrays.toSet()
+        val next = arrays.iterator()
+        return waiting.mapNotNull { job ->
+            if (job.spec.isGang) return@mapNotNull job
+            job.waitsLong = job in chosen
+            if (next.hasNext()) next.next() else null
+        }
+    }
+
     /**
      * When more gangs come than there is room for, the longest waiting first would make all of them late. So those that
      * have waited too long already let the others begin in time, and have their turn again before they starve.
--- a/src/main/kotlin/linemast/settings/FeatureFile.kt
+++ b/src/main/kotlin/linemast/settings/FeatureFile.kt
@@ -20,14 +20,19 @@
             throw SettingsException("$path: cannot be read (${e.javaClass.simpleName})")
         }
         return try {
-            val root = SettingsReader.table(text)
-            refuseUnknown(root, setOf(name))
-            decode(root.child(name))
+            parse(text, name, decode)
         } catch (e: MalformedException) {
             throw SettingsException("$path: ${e.message}")
         }
     }
 
+    /** Reads the table [name] of the text of a file. */
+    fun <T> parse(text: String, name: String, decode: (Fields) -> T): T {
+        val root = SettingsReader.table(text)
+        refuseUnknown(root, setOf(name))
+        return decode(root.child(name))
+    }
+
     /** Refuses a table with a field that is not in [known]. */
     fun refuseUnknown(fields: Fields, known: Set<String>) {
         val unknown = fields.map.keys.firstOrNull { it !in known } ?: return
--- a/src/main/kotlin/linemast/settings/Features.kt
+++ b/src/main/kotlin/linemast/settings/Features.kt
@@ -1,9 +1,12 @@
 package linemast.settings
 
+import linemast.admission.AdmissionSettings
 import linemast.duties.DutySettings
 
 /** The optional parts of the service that are enabled; null for those that are not. */
 class Features(
     /** See docs/single-holder-duties.md. */
     val duties: DutySettings? = null,
+    /** See docs/fair-admission.md. */
+    val admission: AdmissionSettings? = null,
 )
--- /dev/null
+++ b/src/test/kotlin/linemast/admission/AdmissionPlanTest.kt
@@ -0,0 +1,100 @@
+package linemast.admission
+
+import linemast.settings.SettingsReader
+import linemast.wire.Cbor
+import linemast.wire.Fields
+import linemast.wire.MalformedException
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.nio.file.Path
+import kotlin.random.Random
+
+/** Turns on the circle of ids, the stored forms, and the settings file. */
+class AdmissionPlanTest {
+    private val flow = Flow("north", "tiny")
+
+    private fun arc(random: Random): AdmissionArc {
+        val pace = random.nextLong(1L shl 20, IdCircle.SIZE / 20)
+        return AdmissionArc(random.nextLong(IdCircle.SIZE), pace * 12, pace)
+    }
+
+    @Test
+    fun `whoever comes back when told is admitted, and every id has its turn within a round`() {
+        val random = Random(32)
+        repeat(400) { number ->
+            var plan = AdmissionPlan(1, 1, mapOf(flow to arc(random)))
+            val roundSeconds = IdCircle.SIZE / plan.arcs.getValue(flow).pace + 1
+            val id = "req-%06d".format(number)
+            var waited = 0L
+            while (true) {
+                val decision = plan.decide(flow, id)
+                if (decision !is Decision.Later) break
+                waited += decision.seconds
+                val next = plan.arcs.getValue(flow).after(decision.seconds * 1_000_000L)
+                plan = AdmissionPlan(plan.epoch + 1, 1, mapOf(flow to next))
+                if (decision.seconds < 30) assertEquals(Decision.Admitted, plan.decide(flow, id), "told ${decision.seconds} s")
+            }
+            assertTrue(waited <= roundSeconds + 1, "$waited s in a round of $roundSeconds s")
+        }
+    }
+
+    @Test
+    fun `an id that had its turn stays admitted for the dwell time`() {
+        val random = Random(33)
+        repeat(200) { number ->
+            val arc = arc(random)
+            val id = "req-%06d".format(number)
+            val turn = arc.after(IdCircle.distance(arc.head, IdCircle.pointOf(id)) * 1_000_000 / arc.pace + 1_000_000)
+            for (seconds in 0L..10L) {
+                val plan = AdmissionPlan(1, 1, mapOf(flow to turn.after(seconds * 1_000_000)))
+                assertEquals(Decision.Admitted, plan.decide(flow, id), "$seconds s after its turn")
+            }
+        }
+    }
+
+    @Test
+    fun `ids in sequence are spread over the circle`() {
+        val quarters = (0 until 10_000).groupingBy { IdCircle.pointOf("req-%06d".format(it)) * 4 / IdCircle.SIZE }.eachCount()
+        assertTrue(quarters.size == 4 && quarters.values.all { it in 2_300..2_700 }, "$quarters")
+    }
+
+    @Test
+    fun `what is stored is read back as it was, and anything else is refused`() {
+        val random = Random(34)
+        repeat(200) {
+            val flows = List(random.nextInt(5)) { Flow("team-$it", "class-${random.nextInt(3)}") }
+            val plan = AdmissionPlan(random.nextLong(1L shl 40), random.nextLong(1L shl 40), flows.associateWith { arc(random) })
+            val stored = AdmissionCodec.encode(plan)
+            assertEquals(plan, AdmissionCodec.decodePlan(Cbor.decodeMap(Cbor.encode(stored))))
+            for (field in listOf("epoch", "helm")) {
+                assertThrows(MalformedException::class.java) { AdmissionCodec.decodePlan(Fields(stored - field)) }
+            }
+            val demands = flows.associateWith { FlowDemand(random.nextDouble(9.0), random.nextInt(9).toDouble(), random.nextInt(99)) }
+            val read = AdmissionCodec.decodeDemand(Cbor.decodeMap(Cbor.encode(AdmissionCodec.encode(DemandReport("mast-1", demands)))))
+            assertEquals("mast-1" to demands, read.node to read.demands)
+        }
+        val bad = mapOf("crew" to "north", "lane" to "x", "head" to IdCircle.SIZE, "width" to 1L, "pace" to 1L)
+        for (arc in listOf(bad, bad + ("head" to 0L) + ("pace" to 0L), bad + ("head" to 0L) + ("width" to -1L))) {
+            val stored = mapOf("epoch" to 1L, "helm" to 1L, "flows" to listOf(arc))
+            assertThrows(MalformedException::class.java) { AdmissionCodec.decodePlan(Fields(stored)) }
+        }
+    }
+
+    @Test
+    fun `settings are checked, and the file in deploy holds the defaults`() {
+        val shipped = AdmissionSettings.read(Path.of("deploy/admission.toml"))
+        val default = AdmissionSettings()
+        assertEquals(
+            listOf(default.epochMicros, default.dwellMicros, default.mostOpenJobs),
+            shipped.let {
+                listOf(it.epochMicros, it.dwellMicros, it.mostOpenJobs)
+            },
+        )
+        assertEquals(default.intakeShare, shipped.intakeShare)
+        for (wrong in listOf("epoch_s = 0.5", "dwell_s = 61", "intake_share = 0", "most_open_jobs = 99", "flows = 1")) {
+            assertThrows(MalformedException::class.java, { AdmissionSettings.from(SettingsReader.table(wrong)) }, wrong)
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/admission/AdmissionPlannerTest.kt
@@ -0,0 +1,139 @@
+package linemast.admission
+
+import linemast.jobs.OpenRecord
+import linemast.settings.Objective
+import linemast.testSpec
+import linemast.workers.Job
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** The leader's planning in a closed loop with users who come back when told, and the turns of starts. */
+class AdmissionPlannerTest {
+    private val settings = AdmissionSettings()
+
+    /** Users of one flow: new ids at a rate, each asking one of three controllers until it is taken or gives up. */
+    private class Users(val flow: Flow, val perSecond: (Int) -> Double, val entry: (Int) -> Int) {
+        val nextTry = HashMap<String, Int>()
+        val firstTry = HashMap<String, Int>()
+        val waits = ArrayList<Int>()
+        var gaveUp = 0
+        private var owed = 0.0
+        private var count = 0
+
+        fun arrive(second: Int) {
+            owed += perSecond(second)
+            while (owed >= 1) {
+                owed--
+                val id = "req-$flow-${count++}"
+                nextTry[id] = second
+                firstTry[id] = second
+            }
+        }
+    }
+
+    private fun run(seconds: Int, capacity: Double, users: List<Users>, openLimit: AdmissionSettings = settings): List<Int> {
+        val meters = List(3) { DemandMeter() }
+        val planner = AdmissionPlanner(openLimit, capacity)
+        val open = HashMap<Flow, Int>()
+        var plan = AdmissionPlan.UNLIMITED
+        return List(seconds) { second ->
+            val now = second * 1_000_000L
+            if (second % 2 == 0) {
+                val demands = meters.flatMap { it.demands(now).entries }.groupBy({ it.key }, { it.value }).mapValues { (_, parts) ->
+                    FlowDemand(parts.sumOf { it.offered }, parts.sumOf { it.accepted }, parts.sumOf { it.waiting })
+                }
+                plan = AdmissionPlan(plan.epoch + 1, 1, planner.next(plan.arcs, demands, open, 2_000_000))
+            }
+            var taken = 0
+            for (each in users) {
+                each.arrive(second)
+                for (id in each.nextTry.filterValues { it <= second }.keys.toList()) {
+                    if (second - each.firstTry.getValue(id) > 60) {
+                        each.nextTry.remove(id)
+                        each.gaveUp++
+                        continue
+                    }
+                    val meter = meters[each.entry(second)]
+                    meter.offered(each.flow, id, now)
+                    when (val decision = plan.decide(each.flow, id)) {
+                        is Decision.Later -> each.nextTry[id] = second + decision.seconds
+                        Decision.Admitted -> {
+                            meter.accepted(id, now)
+                            each.nextTry.remove(id)
+                            each.waits += second - each.firstTry.getValue(id)
+                            open.merge(each.flow, 1, Int::plus)
+                            taken++
+                        }
+                    }
+                }
+            }
+            taken
+        }
+    }
+
+    @Test
+    fun `a flooding team is held to its part, wherever its flood arrives, and nobody else is put off`() {
+        val random = Random(35)
+        for (floodEntry in listOf<(Int) -> Int>({ 0 }, { random.nextInt(3) })) {
+            val flood = Users(Flow("north", "tiny"), { if (it in 20..140) 60.0 else 0.5 }, floodEntry)
+            val intake = Users(Flow("intake", "match"), { 2.0 }) { random.nextInt(3) }
+            val pulls = Users(Flow("south", "pull"), { 0.5 }) { random.nextInt(3) }
+            val taken = run(240, capacity = 10.0, listOf(flood, intake, pulls))
+            assertEquals(listOf(0, 0), listOf(intake.waits.max(), pulls.waits.max()))
+            val steady = taken.subList(40, 140).average()
+            assertTrue(steady in 6.0..14.0, "$steady a second of a capacity of 10")
+            assertTrue(flood.waits.max() <= 62, "nobody is kept longer than users wait")
+            assertTrue(flood.nextTry.size < 20, "${flood.nextTry.size} still wait 100 s after the flood")
+            println("taken $steady/s, flood: ${flood.waits.size} taken, ${flood.gaveUp} gave up")
+        }
+    }
+
+    @Test
+    fun `a short burst is worked off and nobody gives up`() {
+        val random = Random(36)
+        val burst = Users(Flow("north", "tiny"), { if (it in 20..24) 60.0 else 0.1 }) { random.nextInt(3) }
+        val other = Users(Flow("south", "pull"), { 1.0 }) { random.nextInt(3) }
+        run(150, capacity = 10.0, listOf(burst, other))
+        assertEquals(0, burst.gaveUp)
+        assertEquals(0, burst.nextTry.size)
+        assertEquals(0, other.waits.max())
+    }
+
+    @Test
+    fun `with more open jobs than there may be, the team that has most of them is held back, and not for ever`() {
+        val random = Random(37)
+        val few = AdmissionSettings(mostOpenJobs = 300)
+        val flood = Users(Flow("north", "tiny"), { 8.0 }) { random.nextInt(3) }
+        val other = Users(Flow("south", "pull"), { 0.4 }) { random.nextInt(3) }
+        val taken = run(300, capacity = 50.0, listOf(flood, other), few)
+        assertEquals(0, other.waits.max())
+        assertTrue(taken.takeLast(60).average() < 2.0, "${taken.takeLast(60).average()} a second")
+        assertTrue(taken.takeLast(60).sum() > 30, "the least rate is kept")
+    }
+
+    private fun job(number: Int, team: String, jobClass: String): Job {
+        val spec = testSpec("req-%06d".format(number), "crew" to team, "lane" to jobClass)
+        return Job(OpenRecord(spec, number.toLong(), opened = true, cancelled = false), 1, false)
+    }
+
+    @Test
+    fun `a flow's waiting job has its turn after a few of each other flow, however many wait there`() {
+        val classes = listOf("match", "pull")
+        val turns = StartTurns(FlowClassifier(classes.map { Objective("wait", it, 1, 1.0, null) }))
+        val flood = List(3_000) { job(it, "north", "match") }
+        val others = listOf(job(5_000, "north", "pull"), job(5_001, "south", "match"), job(5_002, "south", "unknown"))
+        var waiting = flood + others
+        val served = ArrayList<Job>()
+        repeat(30) {
+            val next = turns.choose(waiting).first()
+            turns.served(next)
+            served += next
+            waiting = waiting - next
+        }
+        assertTrue(served.take(4).containsAll(others), served.take(4).map { it.id }.toString())
+        assertEquals(flood.take(27), served - others.toSet(), "its own order is kept")
+        assertTrue(turns.choose(waiting).size <= StartTurns.JOBS_A_FLOW)
+    }
+}
