Restart after total outage: unknown jobs are looked up before they are ended, starts are paced

Need: after a total outage a task of a job that is not on the list of open jobs was stopped, and its result forgotten, with the answer to its first report; after an outage longer than a lease all starts left within the time between two reports.

Change: package recovery. Starts take tokens until the restart is worked off.

--- a/src/main/kotlin/linemast/app/Main.kt
+++ b/src/main/kotlin/linemast/app/Main.kt
@@ -3,6 +3,7 @@
 import linemast.admission.AdmissionSettings
 import linemast.duties.DutySettings
 import linemast.planning.Policy
+import linemast.recovery.RecoverySettings
 import linemast.settings.Features
 import linemast.settings.PolicyScript
 import linemast.settings.Settings
@@ -58,6 +59,10 @@
         OptionSpec.builder("--admission").paramLabel("FILE").type(Path::class.java)
             .description("Enables fair admission (TOML); see docs/operating-admission.md.").build(),
     )
+    spec.addOption(
+        OptionSpec.builder("--recovery").paramLabel("FILE").type(Path::class.java)
+            .description("Enables the reconciliation after a total outage (TOML); see docs/operating-recovery.md.").build(),
+    )
     spec.addOption(flag("--actions", "Print the latest actions at the cloud from the store, audited, and exit."))
     spec.addOption(
         OptionSpec.builder("--actions-html").paramLabel("FILE").type(Path::class.java)
@@ -94,6 +99,7 @@
         settings = SettingsReader.read(file)
         features = Features(
             duties = parsed.matchedOptionValue<Path?>("--duties", null)?.let(DutySettings::read),
+            recovery = parsed.matchedOptionValue<Path?>("--recovery", null)?.let(RecoverySettings::read),
             admission = parsed.matchedOptionValue<Path?>("--admission", null)?.let(AdmissionSettings::read),
         )
         policy = parsed.matchedOptionValue<Path?>("--policy", null)?.let(PolicyScript::read) ?: Policy()
--- a/src/main/kotlin/linemast/app/Rehearsal.kt
+++ b/src/main/kotlin/linemast/app/Rehearsal.kt
@@ -7,6 +7,7 @@
 import linemast.admission.AdmissionSettings
 import linemast.duties.DutySettings
 import linemast.planning.Policy
+import linemast.recovery.RecoverySettings
 import linemast.settings.FeatureFile
 import linemast.settings.Features
 import linemast.settings.Settings
@@ -80,6 +81,7 @@
     /** Read as from files, so that the classes for that are in the archive too. */
     private fun features() = Features(
         duties = FeatureFile.parse("[duties]\nslots = 32\n", "duties", DutySettings::from),
+        recovery = FeatureFile.parse("[recovery]\nconfirm_s = 1.0\n", "recovery", RecoverySettings::from),
         admission = FeatureFile.parse("[admission]\nepoch_s = 1.0\n", "admission", AdmissionSettings::from),
     )
 
--- a/src/main/kotlin/linemast/leadership/Leader.kt
+++ b/src/main/kotlin/linemast/leadership/Leader.kt
@@ -24,6 +24,8 @@
 import linemast.planning.Policy
 import linemast.planning.Provisioner
 import linemast.planning.TaskTimes
+import linemast.recovery.Recovery
+import linemast.recovery.RecoveryStore
 import linemast.settings.Features
 import linemast.settings.Settings
 import linemast.state.Store
@@ -61,9 +63,13 @@
     private val planner = Planner(settings, policy, times)
     private val knowledge = CancellationKnowledge(settings.workers)
     private val flows = FlowClassifier(settings.objectives)
+    private val recovery = features.recovery?.let(::Recovery)
     private val startTurns = features.admission?.let { StartTurns(flows) }
     private val cluster =
-        Cluster(settings, authority.fencingToken, graceMicros, this, times, planner, wallMicros, clock, knowledge, startTurns)
+        Cluster(settings, authority.fencingToken, graceMicros, this, times, planner, wallMicros, clock, knowledge, startTurns, recovery)
+    private val recoveryStore = recovery?.let {
+        RecoveryStore(store, authority, clock, wallMicros, it, cluster::settled, events::send)
+    }
     private val fleet = Fleet(settings, policy, authority.fencingToken)
     private val provisioner = Provisioner(cluster, fleet, planner, policy)
     private val jobStore: JobStore = JobStore(
@@ -193,6 +199,7 @@
         storedJobs.watch(scope)
         scope.launch { tickRegularly() }
         admission?.let { scope.launch { it.run() } }
+        recoveryStore?.let { scope.launch { it.run(scope) } }
         scope.launch { cloudOperations.watchMachines() }
         for (event in events) event()
     }
--- a/src/main/kotlin/linemast/placement/Cluster.kt
+++ b/src/main/kotlin/linemast/placement/Cluster.kt
@@ -7,6 +7,7 @@
 import linemast.planning.Planner
 import linemast.planning.TaskTimes
 import linemast.planning.WaitingStage
+import linemast.recovery.Recovery
 import linemast.settings.Settings
 import linemast.wire.Clock
 import linemast.workers.Command
@@ -37,6 +38,8 @@
     private val knowledge: CancellationKnowledge = CancellationKnowledge(settings.workers),
     /** Whose turn it is among jobs that have waited for long; without it all of them go first. */
     startTurns: StartTurns? = null,
+    /** The reconciliation after an outage; null if it is not enabled. */
+    internal val recovery: Recovery? = null,
 ) {
     private val log = LoggerFactory.getLogger(Cluster::class.java)
     val jobs = LinkedHashMap<String, Job>()
--- a/src/main/kotlin/linemast/placement/ReportHandler.kt
+++ b/src/main/kotlin/linemast/placement/ReportHandler.kt
@@ -2,6 +2,7 @@
 
 import linemast.jobs.DoneSet
 import linemast.leadership.CancellationKnowledge
+import linemast.recovery.RecoveryLedger
 import linemast.settings.WorkerSettings
 import linemast.workers.Command
 import linemast.workers.EndCause
@@ -38,6 +39,7 @@
         if (machine.placements.values.any { outlivesCancellation(it, nowMicros) }) return null
         if (allowedCommands == AllowedCommands.NO_COMMANDS) return taskCommands.stopsOfCancelled(machine)
         cluster.takeover.heardFrom(machine, nowMicros)
+        cluster.recovery?.heard(machine.name)
         cluster.passIfDue(nowMicros)
         // A worker that does not show this fencing token has not heard this leader yet, and may never.
         val mayStart = allowedCommands == AllowedCommands.ALL && machine.hears && report.fencingToken >= cluster.fencingToken
@@ -120,6 +122,7 @@
                 placement.phase = Placement.Phase.SENT
                 placement.sentMicros = nowMicros
                 cluster.put(placement)
+                countFound(job, key)
                 if (job != null && job.spec.isGang) adoptGang(job, task)
             }
             advance(placement, task, nowMicros)
@@ -168,8 +171,9 @@
 
     private fun ended(machine: Machine, task: TaskReport, placement: Placement?, nowMicros: Long) {
         if (placement != null) cluster.remove(placement)
-        val job = cluster.jobs[task.task.job] ?: return
-        if (task.task.index >= job.spec.taskCount) return
+        val job = cluster.jobs[task.task.job]
+        if (job == null) cluster.recovery?.foundUnknown(task.key)
+        if (job == null || task.task.index >= job.spec.taskCount) return
         when (task.cause) {
             EndCause.DONE -> completed(machine, job, task, placement, nowMicros)
             EndCause.FAILED -> failed(machine, job, nowMicros)
@@ -188,7 +192,11 @@
         if (job.finished || job.cancelled) return
         // A gang completes together: the end of one of its tasks is the end of all.
         val indices = if (job.spec.isGang) 0 until job.spec.taskCount else task.task.index..task.task.index
-        for (index in indices) if (job.markDone(index)) job.dirtyParts.set(DoneSet.partOf(index))
+        for (index in indices) {
+            if (!job.markDone(index)) continue
+            job.dirtyParts.set(DoneSet.partOf(index))
+            cluster.recovery?.found(RecoveryLedger.Difference.RESULT)
+        }
         cluster.dirty = true
     }
 
@@ -207,7 +215,13 @@
         cluster.dirty = true
     }
 
+    private fun countFound(job: Job?, key: TaskAttempt) {
+        val recovery = cluster.recovery ?: return
+        if (job == null) recovery.foundUnknown(key) else recovery.found(RecoveryLedger.Difference.ADOPTED)
+    }
+
     private fun lost(placement: Placement, why: String) {
+        cluster.recovery?.found(RecoveryLedger.Difference.LOST)
         if (placement.phase != Placement.Phase.SENT) log.info("{} on {}: {}", placement.task, placement.machine.name, why)
         cluster.remove(placement)
     }
--- a/src/main/kotlin/linemast/placement/TaskCommands.kt
+++ b/src/main/kotlin/linemast/placement/TaskCommands.kt
@@ -1,6 +1,7 @@
 package linemast.placement
 
 import linemast.jobs.DoneSet
+import linemast.recovery.RecoveryLedger
 import linemast.workers.Command
 import linemast.workers.EndCause
 import linemast.workers.Machine
@@ -21,11 +22,14 @@
     /** The commands for the answer to a report of [machine]; starts only if [mayStart]. */
     fun commandsFor(machine: Machine, mayStart: Boolean, nowMicros: Long): List<Command> {
         val commands = ArrayList<Command>()
-        for (task in machine.ended.values) if (mayAcknowledge(machine, task)) commands += Command.Acknowledge(task.task, task.attempt)
+        for (task in machine.ended.values) {
+            if (mayAcknowledge(machine, task, nowMicros)) commands += Command.Acknowledge(task.task, task.attempt)
+        }
+        cluster.recovery?.ordered(RecoveryLedger.Order.ACKNOWLEDGE, commands.size)
         for (placement in machine.placements.values.toList()) {
             if (commands.size >= MAX_COMMANDS) break
             if (placement.isAssigned) {
-                if (!mayStart || !mayStart(machine, placement, nowMicros)) {
+                if (!mayStart || !mayStart(machine, placement, nowMicros) || !isInPace(placement, nowMicros)) {
                     cluster.remove(placement)
                     continue
                 }
@@ -34,7 +38,9 @@
                 cluster.commandSent(placement)
                 placement.job?.gangAttemptUsed = true
                 commands += Command.Start(placement.task, placement.attempt)
-            } else if (shouldStop(placement)) {
+                cluster.recovery?.ordered(RecoveryLedger.Order.START)
+            } else if (shouldStop(placement, nowMicros)) {
+                if (!placement.stopSent) cluster.recovery?.ordered(RecoveryLedger.Order.STOP)
                 placement.stopSent = true
                 commands += Command.Stop(placement.task, placement.attempt, placement.stopGracePeriodMicros)
             }
@@ -43,9 +49,9 @@
     }
 
     /** A result may be forgotten by the worker only once the store has it. */
-    private fun mayAcknowledge(machine: Machine, task: TaskReport): Boolean {
-        val job = cluster.jobs[task.task.job]
-        if (job == null || job.cancelled || job.finished) return true
+    private fun mayAcknowledge(machine: Machine, task: TaskReport, nowMicros: Long): Boolean {
+        val job = cluster.jobs[task.task.job] ?: return mayDiscard(task.task.job, nowMicros)
+        if (job.cancelled || job.finished) return true
         if (job.spec.isGang) job.acknowledgedOn(machine, task.attempt)
         if (task.cause != EndCause.DONE) return true
         val part = DoneSet.partOf(task.task.index)
@@ -57,8 +63,17 @@
         return !job.cancelled && !job.finished && !machine.draining && machine.onRecord && cluster.isStartable(job, nowMicros)
     }
 
-    private fun shouldStop(placement: Placement): Boolean {
+    /** Without a record of its job a task, or its result, is not to be ended before the store has been asked. */
+    private fun mayDiscard(job: String, nowMicros: Long): Boolean = cluster.recovery?.mayDiscard(job, nowMicros) ?: true
+
+    /** The starts of a gang leave together: one that comes late would hold the machines of all others. */
+    private fun isInPace(placement: Placement, nowMicros: Long): Boolean = placement.job?.spec?.isGang == true || mayOrder(nowMicros)
+
+    private fun mayOrder(nowMicros: Long): Boolean = cluster.recovery?.mayOrder(nowMicros) ?: true
+
+    private fun shouldStop(placement: Placement, nowMicros: Long): Boolean {
         val job = placement.job
+        if (job == null && !(mayDiscard(placement.task.job, nowMicros) && mayOrder(nowMicros))) return false
         if (job == null || job.cancelled || job.finished || job.done.get(placement.task.index)) {
             placement.stopGracePeriodMicros = 0
             return true
--- /dev/null
+++ b/src/main/kotlin/linemast/recovery/RecoverySettings.kt
@@ -0,0 +1,36 @@
+package linemast.recovery
+
+import linemast.settings.FeatureFile
+import linemast.wire.Fields
+import linemast.wire.SECOND_MICROS
+import java.nio.file.Path
+
+/** The operators' settings of the restart after an outage; the values here hold for what a file leaves out. */
+class RecoverySettings(
+    /** Starts and stops a second at most, over all workers, until what earlier leaders started is accounted for. */
+    val ordersPerSecond: Double = DEFAULT_ORDERS,
+    /** A job of which the store has no record is asked for once more after this long, before its tasks are ended. */
+    val confirmMicros: Long = DEFAULT_CONFIRM_MICROS,
+) {
+    companion object {
+        private const val DEFAULT_ORDERS = 200.0
+        private const val LEAST_ORDERS = 1.0
+        private const val MOST_ORDERS = 100_000.0
+        private const val DEFAULT_CONFIRM_MICROS = SECOND_MICROS
+        private const val LEAST_CONFIRM_SECONDS = 0.1
+        private const val MOST_CONFIRM_SECONDS = 2.0
+
+        /** Reads and checks the file that enables the reconciliation after an outage. */
+        fun read(path: Path): RecoverySettings = FeatureFile.read(path, "recovery", ::from)
+
+        /** Reads and checks the table of settings. */
+        fun from(fields: Fields): RecoverySettings {
+            FeatureFile.refuseUnknown(fields, setOf("orders_per_s", "confirm_s"))
+            return RecoverySettings(
+                ordersPerSecond = FeatureFile.number(fields, "orders_per_s", LEAST_ORDERS, MOST_ORDERS) ?: DEFAULT_ORDERS,
+                confirmMicros = FeatureFile.seconds(fields, "confirm_s", LEAST_CONFIRM_SECONDS, MOST_CONFIRM_SECONDS)
+                    ?: DEFAULT_CONFIRM_MICROS,
+            )
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/linemast/recovery/RecoveryStore.kt
@@ -0,0 +1,81 @@
+package linemast.recovery
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import linemast.jobs.JobKeys
+import linemast.jobs.VerdictRecord
+import linemast.leadership.Authority
+import linemast.leadership.attempt
+import linemast.state.Priority
+import linemast.state.Store
+import linemast.state.StoreException
+import linemast.state.Write
+import linemast.wire.Clock
+import linemast.wire.MalformedException
+import org.slf4j.LoggerFactory
+
+/** Reads the verdicts of jobs that the leader does not know, and stores what a recovery has found, for operators to read. */
+internal class RecoveryStore(
+    private val store: Store,
+    private val authority: Authority,
+    private val clock: Clock,
+    private val wallMicros: () -> Long,
+    private val recovery: Recovery,
+    /** Whether the tasks of earlier leaders are accounted for. */
+    private val isSettled: () -> Boolean,
+    /** Runs an action on the coroutine that owns the cluster state. */
+    private val onLeaderLoop: suspend (() -> Unit) -> Unit,
+) {
+    private val logger = LoggerFactory.getLogger(RecoveryStore::class.java)
+
+    /** Asks until it is cancelled. */
+    suspend fun run(scope: CoroutineScope) {
+        while (true) {
+            onLeaderLoop {
+                recovery.unknownJobs.toAsk(clock.nowMicros()).chunked(JOBS_AT_ONCE).forEach { jobs -> scope.launch { ask(jobs) } }
+                if (recovery.step(isSettled(), clock.nowMicros())) scope.launch { write() }
+            }
+            delay(LOOK_MILLIS)
+        }
+    }
+
+    private suspend fun ask(jobs: List<String>) {
+        for (job in jobs) {
+            val answer = read(job)
+            onLeaderLoop { recovery.unknownJobs.answered(job, answer, clock.nowMicros()) }
+        }
+    }
+
+    private suspend fun read(job: String): VerdictAnswer = try {
+        val item = store.get(JobKeys.verdict(job), Priority.INTAKE)
+        if (item == null) VerdictAnswer.Absent else VerdictAnswer.Found(VerdictRecord.read(item.value).verdict)
+    } catch (e: StoreException) {
+        logger.debug("verdict of {}: {}", job, e.message)
+        VerdictAnswer.NoAnswer
+    } catch (e: MalformedException) {
+        logger.error("verdict of {}: {}", job, e.message)
+        VerdictAnswer.NoAnswer
+    }
+
+    private suspend fun write() {
+        val suspect = recovery.unknownJobs.standings.filterValues { it != JobStanding.OVER }
+        val value = mapOf(
+            "at_us" to wallMicros(),
+            "helm" to authority.fencingToken,
+            "summary" to recovery.ledger.summary(),
+            "jobs" to
+                suspect.entries.take(MOST_LISTED).map { (id, standing) -> mapOf("job" to id, "standing" to standing.name.lowercase()) },
+        )
+        attempt(logger) { store.commit(listOf(authority.fence), listOf(Write.Put(KEY, value)), Priority.BACKGROUND) }
+    }
+
+    private companion object {
+        const val KEY = "recovery"
+        const val LOOK_MILLIS = 100L
+        const val JOBS_AT_ONCE = 20
+
+        /** So that the record fits a value. */
+        const val MOST_LISTED = 15
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/loopback/RecoveryLoopbackTest.kt
@@ -0,0 +1,79 @@
+package linemast.loopback
+
+import kotlinx.coroutines.delay
+import linemast.simulation.SimJob
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+
+/**
+ * A measurement, not part of CI: all three processes are killed at once while hundreds of stand-in workers run tasks, and
+ * started again. See docs/operating-recovery.md for how to run it.
+ */
+@Tag("loopback")
+class RecoveryLoopbackTest {
+    private val seed = Integer.getInteger("linemast.seed", 1)
+    private val machines = Integer.getInteger("linemast.machines", 300)
+
+    private val options = LoopbackOptions(
+        seed = seed,
+        arguments = listOf("--recovery", "deploy/recovery.toml"),
+        policy = "return { leader_hold_s = 1 }",
+        standing = machines,
+        mostMachines = machines,
+    )
+
+    @Test
+    fun `the orders after a total outage are the differences`() {
+        val cluster = LoopbackCluster(options)
+        val orders = ArrayList<Pair<String, String>>()
+        var lost = emptySet<String>()
+        var unrecorded = emptySet<String>()
+        var adopted = 0
+        cluster.play {
+            val world = cluster.world
+            val tasks = machines * 2
+            world.user(SimJob("req-000001", "north", tasks, 1.0, false, false, false, false, RUN_MICROS, staggerMicros = 20_000), null)
+            world.user(SimJob("req-000002", "south", tasks / 4, 1.0, false, false, false, false, RUN_MICROS, staggerMicros = 20_000), null)
+            fun live() = world.workers.values.flatMap { it.tasks.values }.filter { it.status != "ended" }
+            assertTrue(cluster.await(STARTUP_MILLIS) { live().size + world.completed.size == tasks + tasks / 4 }, "not all is under way")
+            repeat(CONTROLLERS) { cluster.kill(it) }
+            val silent = world.workers.values.filter { it.tasks.isNotEmpty() }.take(machines / 25)
+            lost = silent.flatMapTo(HashSet()) { machine -> machine.tasks.values.map { "${it.job}/${it.index}" } }
+            silent.forEach { it.mute = true }
+            val others = world.workers.values.filter { it !in silent }.take(machines / 50)
+            unrecorded = others.mapIndexedTo(HashSet()) { at, machine ->
+                val job = SimJob("req-99%04d".format(at), "north", 1, 0.0, false, false, false, false, 300_000_000)
+                world.jobs[job.id] = job
+                machine.inject(job)
+                "${job.id}/0"
+            }
+            adopted = live().size - lost.size - unrecorded.size
+            world.onLeaseEnd = { forgotten -> lost = lost + forgotten }
+            world.onCommand = { _, verb, task -> orders += verb to task.substringBefore('#') }
+            delay(OUTAGE_MILLIS)
+            repeat(CONTROLLERS) { cluster.start(it) }
+            cluster.await(END_MILLIS) { world.jobs.values.all { !it.accepted || it.told == "done" } }
+        }
+        val byVerb = orders.groupBy({ it.first }, { it.second })
+        val started = byVerb["start"].orEmpty()
+        val stopped = byVerb["halt"].orEmpty()
+        println("seed $seed, $machines workers, $adopted tasks running at the outage of $OUTAGE_MILLIS ms:")
+        println("  differences: ${(lost - unrecorded).size} tasks lost, ${(unrecorded - lost).size} tasks of jobs without a record")
+        println("  orders: ${started.size} starts, ${stopped.size} stops, ${byVerb["clear"].orEmpty().size} acknowledgements")
+        println("  jobs done: ${cluster.world.jobs.values.count { it.told == "done" }} of 2; broken rules: ${cluster.world.broken}")
+        assertEquals(emptyList<String>(), cluster.world.broken)
+        assertEquals(2, cluster.world.jobs.values.count { it.told == "done" })
+        assertEquals(lost - unrecorded, started.toSet(), "started anew")
+        assertEquals(unrecorded - lost, stopped.toSet(), "stopped")
+    }
+
+    private companion object {
+        const val CONTROLLERS = 3
+        const val RUN_MICROS = 30_000_000L
+        const val OUTAGE_MILLIS = 2_000L
+        const val STARTUP_MILLIS = 60_000L
+        const val END_MILLIS = 120_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/linemast/recovery/RecoverySimulationTest.kt
@@ -0,0 +1,147 @@
+package linemast.recovery
+
+import kotlinx.coroutines.delay
+import linemast.settings.Features
+import linemast.simulation.SimJob
+import linemast.simulation.SimWorker
+import linemast.simulation.SimWorld
+import linemast.simulation.simulate
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** All controllers lose their power at once while three hundred workers run tasks, in virtual time. */
+class RecoverySimulationTest {
+    private class Command(val second: Long, val verb: String, val task: String)
+
+    private class Outcome(
+        val world: SimWorld,
+        val commands: List<Command>,
+        /** Tasks and results that were lost with their machines or with the lease of a worker. */
+        val lost: Set<String>,
+        val unrecorded: Set<String>,
+        val damaged: SimJob?,
+        val completedBefore: Int,
+    ) {
+        fun tasks(verb: String) = commands.filter { it.verb == verb }.map { it.task.substringBefore('#') }
+    }
+
+    private fun array(number: Int, runMicros: Long) = SimJob(
+        "req-%06d".format(number), if (number % 2 == 0) "north" else "south", TASKS, 1.0, false, false, false, true, runMicros,
+        staggerMicros = 60_000,
+    )
+
+    private fun gang(number: Int) = SimJob("req-%06d".format(number), "south", 2, 4.0, true, true, false, false, 60_000_000)
+
+    private fun liveTasks(machines: Collection<SimWorker>) =
+        machines.flatMap { it.tasks.values }.filter { it.status != "ended" }.map { "${it.job}/${it.index}" }.toSet()
+
+    private fun play(seed: Int, enabled: Boolean, outageMillis: Long, damages: Boolean, ordersPerSecond: Double = 200.0): Outcome {
+        val commands = ArrayList<Command>()
+        var lost = emptySet<String>()
+        var unrecorded = emptySet<String>()
+        var damaged: SimJob? = null
+        var completedBefore = 0
+        val features = Features(recovery = RecoverySettings(ordersPerSecond).takeIf { enabled })
+        val world = simulate(seed, size = 50, standing = 300, features = features) { world ->
+            repeat(4) { world.user(array(it + 1, runMicros = 35_000_000), null) }
+            repeat(10) { world.user(gang(it + 100), null) }
+            delay(28_000)
+            val expected = 4 * TASKS + 10 * 2
+            assertEquals(expected, liveTasks(world.workers.values).size + world.completed.size, "all is under way")
+            repeat(3) { world.killNode(it) }
+            val plain = world.workers.values.filter { machine -> machine.tasks.values.none { world.jobs.getValue(it.job).gang } }
+            val silent = plain.filter { it.tasks.isNotEmpty() }.take(12)
+            lost = liveTasks(silent)
+            silent.take(6).forEach { it.mute = true }
+            silent.drop(6).forEach { world.removeMachine(it.name) }
+            val idle = plain.filter { it.tasks.isEmpty() && it.name in world.workers }.take(8)
+            unrecorded = idle.mapIndexedTo(HashSet()) { at, machine ->
+                val job = SimJob("req-99000$at", "north", 1, 1.0, false, false, false, true, 300_000_000)
+                world.jobs[job.id] = job
+                machine.inject(job)
+                "${job.id}/0"
+            }
+            if (damages) damaged = world.jobs.getValue("req-000002").also { world.store.lose("o/${it.id}") }
+            val began = world.clock.nowMicros()
+            world.onLeaseEnd = { tasks -> lost = lost + tasks }
+            world.onCommand = { _, verb, task -> commands += Command((world.clock.nowMicros() - began) / 1_000_000, verb, task) }
+            completedBefore = world.completed.size
+            delay(outageMillis)
+            repeat(3) { world.startNode(it) }
+            delay(100_000)
+        }
+        return Outcome(world, commands, lost, unrecorded, damaged, completedBefore)
+    }
+
+    private fun println(outcome: Outcome) = println(
+        "orders: ${outcome.tasks("start").size} start, ${outcome.tasks("halt").size} halt, ${outcome.tasks("clear").size} clear; " +
+            "differences: ${outcome.lost.size} lost, ${outcome.unrecorded.size} unrecorded",
+    )
+
+    private fun checkAllEnded(outcome: Outcome) {
+        assertEquals(emptyList<String>(), outcome.world.broken)
+        val open = outcome.world.jobs.values.filter { it.accepted && it.told != "done" && it !== outcome.damaged }.map { it.id }
+        assertEquals(emptyList<String>(), open)
+        val results = outcome.tasks("clear").groupingBy { it }.eachCount().filterValues { it > 1 }.keys - outcome.lost
+        assertEquals(emptySet<String>(), results, "each result is taken once")
+    }
+
+    @Test
+    fun `after an outage shorter than a lease the orders are just the differences`() {
+        val outcome = play(seed = 71, enabled = true, outageMillis = 3_000, damages = false)
+        println(outcome)
+        checkAllEnded(outcome)
+        assertEquals(outcome.unrecorded - outcome.lost, outcome.tasks("halt").toSet(), "nothing else is stopped")
+        assertEquals(outcome.lost - outcome.unrecorded, outcome.tasks("start").toSet(), "nothing else is started anew")
+        assertTrue(outcome.unrecorded.any { it !in outcome.lost })
+        assertTrue(outcome.tasks("start").size <= outcome.lost.size * 11 / 10, "${outcome.tasks("start").size} starts")
+        assertTrue(outcome.tasks("halt").size <= outcome.unrecorded.size * 3, "${outcome.tasks("halt").size} stops")
+        val record = outcome.world.store.valueOf("recovery")
+        val listed = record?.children("jobs")?.associate { it.text("job") to it.text("standing") }
+        assertEquals((outcome.unrecorded - outcome.lost).associate { it.substringBefore('/') to "unrecorded" }, listed)
+    }
+
+    @Test
+    fun `after an outage longer than a lease everything is started anew, no faster than allowed`() {
+        val outcome = play(seed = 72, enabled = true, outageMillis = 12_000, damages = false, ordersPerSecond = 25.0)
+        println(outcome)
+        checkAllEnded(outcome)
+        val unfinished = 4 * TASKS + 10 * 2 - outcome.completedBefore
+        assertEquals(unfinished, outcome.tasks("start").toSet().size)
+        assertTrue(outcome.tasks("start").size <= unfinished * 11 / 10)
+        val arrays = outcome.commands.filter {
+            it.verb == "start" &&
+                outcome.world.jobs.getValue(it.task.substringBefore('/')).taskCount == TASKS
+        }
+        val bySecond = arrays.groupingBy { it.second }.eachCount()
+        println("starts by second: $bySecond")
+        assertTrue(bySecond.values.all { it <= 2 * 25 }, "$bySecond")
+        assertTrue(bySecond.size >= arrays.size / 50)
+    }
+
+    @Test
+    fun `tasks of a job whose record was lost in part go on, and their results are kept`() {
+        val outcome = play(seed = 73, enabled = true, outageMillis = 3_000, damages = true)
+        println(outcome)
+        checkAllEnded(outcome)
+        val damaged = outcome.damaged!!.id
+        assertTrue(outcome.tasks("halt").none { it.startsWith("$damaged/") })
+        assertTrue(outcome.tasks("clear").none { it.startsWith("$damaged/") })
+        val listed = outcome.world.store.valueOf("recovery")!!.children("jobs").associate { it.text("job") to it.text("standing") }
+        assertEquals("inconsistent", listed[damaged])
+    }
+
+    /** The same play without the subsystem: the fault that it is for occurs, so that the test above can fail. */
+    @Test
+    fun `without the subsystem they are ended and their results forgotten`() {
+        val outcome = play(seed = 73, enabled = false, outageMillis = 3_000, damages = true)
+        println(outcome)
+        val damaged = outcome.damaged!!.id
+        assertTrue(outcome.tasks("halt").any { it.startsWith("$damaged/") })
+    }
+
+    private companion object {
+        const val TASKS = 150
+    }
+}
--- a/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
+++ b/src/test/kotlin/linemast/simulation/FaultSimulationTest.kt
@@ -7,6 +7,7 @@
 import linemast.admission.AdmissionSettings
 import linemast.duties.DutySettings
 import linemast.duties.OrderHistoryAudit
+import linemast.recovery.RecoverySettings
 import linemast.settings.Features
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -27,7 +28,7 @@
     @ParameterizedTest
     @MethodSource("seedsOfFeatures")
     fun `rules hold under generated faults with all optional parts enabled`(seed: Int) {
-        val world = play(seed, controllersLeaseSeconds = LEASE_SECONDS, Features(DutySettings(), AdmissionSettings()))
+        val world = play(seed, controllersLeaseSeconds = LEASE_SECONDS, Features(DutySettings(), AdmissionSettings(), RecoverySettings()))
         assertAllWell(world, seed)
         assertEquals(
             emptyList<Any>(),
--- a/src/test/kotlin/linemast/simulation/SimStore.kt
+++ b/src/test/kotlin/linemast/simulation/SimStore.kt
@@ -78,6 +78,11 @@
         leases.values.forEach { it.endsMicros = clock.nowMicros() + it.lifeMicros }
     }
 
+    /** Loses [key], as if it had never been written; nobody is told. */
+    fun lose(key: String) {
+        entries.remove(key)
+    }
+
     fun valueOf(key: String) = entries[key]?.let { Cbor.decodeMap(it.value) }
 
     fun keysUnder(prefix: String): Set<String> = entries.keys.filterTo(LinkedHashSet()) { it.startsWith(prefix) }
--- a/src/test/kotlin/linemast/simulation/SimWorker.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -70,6 +70,13 @@
         world.scope.launch { reports() }
     }
 
+    /** Has a task run here that no controller of this store has ordered. */
+    fun inject(job: SimJob) {
+        val task = Task(job.id, 0, 1)
+        run(task, world.clock.nowMicros(), job.runMicros)
+        tasks["${job.id}/0#1"] = task
+    }
+
     private suspend fun live() {
         while (!gone) {
             delay(STEP_MILLIS)
@@ -80,6 +87,7 @@
     private fun step() {
         val now = world.clock.nowMicros()
         if (now - renewedMicros > leaseMicros) {
+            world.onLeaseEnd(tasks.values.map { "${it.job}/${it.index}" })
             tasks.clear()
             session++
             renewedMicros = now
@@ -212,6 +220,7 @@
         val task = order.text("piece")
         val attempt = order.long("try")
         val key = "$task#$attempt"
+        world.onCommand(name, order.text("verb"), key)
         val job = task.substringBefore('/')
         val index = task.substringAfter('/').toInt()
         when (order.text("verb")) {
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -331,6 +331,12 @@
         broken += "${clock.nowMicros() / 1_000} ms: $what"
     }
 
+    /** Told of each command that a worker carries out. */
+    var onCommand: (machine: String, verb: String, task: String) -> Unit = { _, _, _ -> }
+
+    /** Told of the tasks, ended ones included, that a worker forgets with its lease. */
+    var onLeaseEnd: (tasks: List<String>) -> Unit = {}
+
     /** The controller that a submission of a job goes to. */
     var entryOf: (SimJob) -> Int = { random.nextInt(NODES) }
 
