--- a/src/main/kotlin/linemast/app/Main.kt
+++ b/src/main/kotlin/linemast/app/Main.kt
@@ -42,32 +42,14 @@
     // Built without annotations, whose reading would cost reflection at every cold start.
     val spec = CommandSpec.create().name("linemast").version(VERSION)
     spec.usageMessage().description("A controller of the linemast cluster scheduler.")
-    spec.addOption(
-        OptionSpec.builder("--config").paramLabel("FILE").type(Path::class.java)
-            .description("The settings file (TOML).").build(),
-    )
+    spec.addOption(fileOption("--config", "The settings file (TOML)."))
     spec.addOption(flag("--check", "Check the settings and exit."))
-    spec.addOption(
-        OptionSpec.builder("--policy").paramLabel("FILE").type(Path::class.java)
-            .description("The operators' own settings (Lua); see docs/operations.md.").build(),
-    )
-    spec.addOption(
-        OptionSpec.builder("--duties").paramLabel("FILE").type(Path::class.java)
-            .description("Enables single-holder duties (TOML); see docs/operating-duties.md.").build(),
-    )
-    spec.addOption(
-        OptionSpec.builder("--admission").paramLabel("FILE").type(Path::class.java)
-            .description("Enables fair admission (TOML); see docs/operating-admission.md.").build(),
-    )
-    spec.addOption(
-        OptionSpec.builder("--recovery").paramLabel("FILE").type(Path::class.java)
-            .description("Enables the reconciliation after a total outage (TOML); see docs/operating-recovery.md.").build(),
-    )
+    spec.addOption(fileOption("--policy", "The operators' own settings (Lua); see docs/operations.md."))
+    spec.addOption(fileOption("--duties", "Enables single-holder duties (TOML); see docs/operating-duties.md."))
+    spec.addOption(fileOption("--admission", "Enables fair admission (TOML); see docs/operating-admission.md."))
+    spec.addOption(fileOption("--recovery", "Enables the reconciliation after a total outage (TOML); see docs/operating-recovery.md."))
     spec.addOption(flag("--actions", "Print the latest actions at the cloud from the store, audited, and exit."))
-    spec.addOption(
-        OptionSpec.builder("--actions-html").paramLabel("FILE").type(Path::class.java)
-            .description("With --actions: also write them as an HTML page.").build(),
-    )
+    spec.addOption(fileOption("--actions-html", "With --actions: also write them as an HTML page."))
     spec.addOption(flag("--rehearse", "Run the usual paths once on loopback and exit; the build makes its class-data archive so."))
     spec.addOption(OptionSpec.builder("--help", "-h").usageHelp(true).description("Show this help.").build())
     spec.addOption(OptionSpec.builder("--version").versionHelp(true).description("Show the version.").build())
@@ -82,6 +64,9 @@
     return line
 }
 
+private fun fileOption(name: String, description: String): OptionSpec =
+    OptionSpec.builder(name).paramLabel("FILE").type(Path::class.java).description(description).build()
+
 private fun flag(name: String, description: String): OptionSpec =
     OptionSpec.builder(name).type(java.lang.Boolean.TYPE).arity("0").description(description).build()
 
