Read over: one limit for returns, one rule for changes a second, requests without look-ups

Need: the limit of machines in a return stood three times, the smaller of the present and next change rates was worked out beside its twins in StateLimits, the list of suspect jobs was made twice, and the writer looked its requests' fields up by type.

Change: MACHINES_A_RETURN_CALL, StateLimits.mostWriteRps, UnknownJobs.suspect; requests of IntentWriter declare their intent and slot; DutyLostException words its message itself. Behaviour as before; no test touched.

--- a/src/main/kotlin/linemast/admission/AdmissionSettings.kt
+++ b/src/main/kotlin/linemast/admission/AdmissionSettings.kt
@@ -18,10 +18,7 @@
     val mostOpenJobs: Int = DEFAULT_OPEN_JOBS,
 ) {
     /** Submissions a second that the state service has room for. */
-    fun capacity(limits: StateLimits): Double {
-        val changes = minOf(limits.writeRps, limits.next?.writeRps ?: limits.writeRps)
-        return changes * intakeShare / CHANGES_A_JOB
-    }
+    fun capacity(limits: StateLimits): Double = limits.mostWriteRps * intakeShare / CHANGES_A_JOB
 
     companion object {
         private const val DEFAULT_EPOCH_MICROS = 2 * SECOND_MICROS
--- a/src/main/kotlin/linemast/cloud/CloudClient.kt
+++ b/src/main/kotlin/linemast/cloud/CloudClient.kt
@@ -19,6 +19,9 @@
 /** As many machines as the cloud lists in one call. */
 const val MACHINES_A_LIST_CALL = 500
 
+/** As many machines as the cloud takes back in one call. */
+const val MACHINES_A_RETURN_CALL = 100
+
 /** A machine as the cloud lists it; the list lags behind. */
 class ListedMachine(
     val name: String,
@@ -109,7 +112,7 @@
     }
 
     override suspend fun giveBack(names: List<String>) {
-        for (part in names.chunked(MAX_RETURN)) {
+        for (part in names.chunked(MACHINES_A_RETURN_CALL)) {
             val reply = call("POST", "/machines/return", Cbor.encode(mapOf("rigs" to part)), Priority.VITAL)
             if (reply.status != HttpStatus.OK) throw CloudException("the cloud answered ${reply.status} to a return")
         }
@@ -147,7 +150,6 @@
 
     private companion object {
         const val MAX_CALLS = 3
-        const val MAX_RETURN = 100
         const val USED_SHARE = 0.8
         const val CALL_TIMEOUT_MICROS = 5 * SECOND_MICROS
     }
--- a/src/main/kotlin/linemast/duties/DutyHolder.kt
+++ b/src/main/kotlin/linemast/duties/DutyHolder.kt
@@ -3,6 +3,7 @@
 import linemast.cloud.Cloud
 import linemast.cloud.CloudException
 import linemast.cloud.CloudExecutor
+import linemast.cloud.MACHINES_A_RETURN_CALL
 import linemast.cloud.RentRequest
 import linemast.cloud.RentResult
 import linemast.cloud.Returns
@@ -70,13 +71,10 @@
     /** As many names as fit the value of an intent, whatever else it holds. */
     private fun namesInValue(names: List<String>): Int {
         val longest = names.maxOf { Cbor.jsonSize(it) + 1 }
-        return ((limits.mostValueBytes - FRAME_BYTES) / longest).coerceIn(1, MOST_NAMES)
+        return ((limits.mostValueBytes - FRAME_BYTES) / longest).coerceIn(1, MACHINES_A_RETURN_CALL)
     }
 
     private companion object {
-        /** What a cloud takes back in one call. */
-        const val MOST_NAMES = 100
-
         /** The other fields of a stored intent. */
         const val FRAME_BYTES = 300
     }
--- a/src/main/kotlin/linemast/duties/Inheritance.kt
+++ b/src/main/kotlin/linemast/duties/Inheritance.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import linemast.cloud.MACHINES_A_RETURN_CALL
 import linemast.cloud.RentRequest
 import linemast.cloud.RentResult
 import org.slf4j.LoggerFactory
@@ -56,7 +57,7 @@
     private suspend fun finishReturns() = untilLost {
         while (!returns.isOver) {
             val free = CompletableDeferred<List<String>>()
-            onLeaderLoop { free.complete(returns.next(MOST_NAMES, effects::isFree)) }
+            onLeaderLoop { free.complete(returns.next(MACHINES_A_RETURN_CALL, effects::isFree)) }
             val names = free.await()
             if (names.isEmpty()) delay(LOOK_MILLIS) else finish(names)
         }
@@ -80,6 +81,5 @@
 
     private companion object {
         const val LOOK_MILLIS = 500L
-        const val MOST_NAMES = 100
     }
 }
--- a/src/main/kotlin/linemast/duties/IntentRunner.kt
+++ b/src/main/kotlin/linemast/duties/IntentRunner.kt
@@ -76,7 +76,7 @@
 
     private suspend fun awaitAuthority() {
         while (!authority.mayCommand(clock.nowMicros())) {
-            if (authority.ended) throw DutyLostException("the term with fencing token ${authority.fencingToken} has ended")
+            if (authority.ended) throw DutyLostException(authority.fencingToken)
             delay(AUTHORITY_MILLIS)
         }
     }
--- a/src/main/kotlin/linemast/duties/IntentWriter.kt
+++ b/src/main/kotlin/linemast/duties/IntentWriter.kt
@@ -16,7 +16,7 @@
 import org.slf4j.LoggerFactory
 
 /** This controller does not hold the duties any more: whatever it wanted to do is for the next holder to decide. */
-class DutyLostException(message: String) : CloudException(message)
+class DutyLostException(fencingToken: Long) : CloudException("the term with fencing token $fencingToken has ended")
 
 /** As many intents are open as there are slots: nothing new can be begun until one of them has ended. */
 class NoFreeSlotException : CloudException("all slots hold open intents")
@@ -36,10 +36,13 @@
     private val wallMicros: () -> Long,
 ) {
     private sealed interface Request {
+        val intent: Intent
+        val slot: Int
+
         /** Answered once the store holds the intent. */
-        class Begin(val intent: Intent, val slot: Int, val stored: CompletableDeferred<StoredIntent>) : Request
+        class Begin(override val intent: Intent, override val slot: Int, val stored: CompletableDeferred<StoredIntent>) : Request
 
-        class Close(val intent: Intent, val slot: Int) : Request
+        class Close(override val intent: Intent, override val slot: Int) : Request
     }
 
     private val logger = LoggerFactory.getLogger(IntentWriter::class.java)
@@ -85,17 +88,7 @@
         }
     }
 
-    private fun intentOf(request: Request): Intent = when (request) {
-        is Request.Begin -> request.intent
-        is Request.Close -> request.intent
-    }
-
-    private fun slotOf(request: Request): Int = when (request) {
-        is Request.Begin -> request.slot
-        is Request.Close -> request.slot
-    }
-
-    private fun writeOf(request: Request): Write = Write.Put(IntentCodec.key(slotOf(request)), IntentCodec.encode(intentOf(request)))
+    private fun writeOf(request: Request): Write = Write.Put(IntentCodec.key(request.slot), IntentCodec.encode(request.intent))
 
     /** False when the term has ended. */
     private suspend fun write(batch: List<Request>): Boolean {
@@ -121,7 +114,7 @@
     }
 
     private suspend fun commit(requests: List<Request>): CommitResult? {
-        val slots = requests.map(::slotOf)
+        val slots = requests.map { it.slot }
         val conditions = slots.map { Condition(IntentCodec.key(it), log.versionOf(it)) }
         return attempt(logger) { store.commit(listOf(authority.fence) + conditions, requests.map(::writeOf), Priority.INTAKE) }
     }
@@ -133,12 +126,12 @@
             return batch
         }
         return batch.mapNotNull { request ->
-            val found = log[slotOf(request)]
+            val found = log[request.slot]
             when {
-                found?.intent == intentOf(request) -> null.also { stored(request, found.version) }
+                found?.intent == request.intent -> null.also { stored(request, found.version) }
                 request is Request.Begin -> elsewhere(request)
                 // The slot holds another intent, so that this one has long ended.
-                else -> request.takeIf { found?.intent?.id == intentOf(request).id }
+                else -> request.takeIf { found?.intent?.id == request.intent.id }
             }
         }
     }
@@ -156,14 +149,13 @@
     }
 
     private fun stored(request: Request, version: Long) {
-        val slot = slotOf(request)
-        val entry = StoredIntent(slot, intentOf(request), version)
+        val entry = StoredIntent(request.slot, request.intent, version)
         log = log.put(entry)
         if (request is Request.Begin) request.stored.complete(entry)
     }
 
     private fun abandon(waiting: List<Request>) {
-        val lost = DutyLostException("the term with fencing token ${authority.fencingToken} has ended")
+        val lost = DutyLostException(authority.fencingToken)
         requests.close(lost)
         val unanswered = waiting + generateSequence { requests.tryReceive().getOrNull() }
         unanswered.filterIsInstance<Request.Begin>().forEach { it.stored.completeExceptionally(lost) }
--- a/src/main/kotlin/linemast/recovery/Recovery.kt
+++ b/src/main/kotlin/linemast/recovery/Recovery.kt
@@ -66,14 +66,16 @@
 
     /** Takes note of whether the tasks of earlier leaders are accounted for. True when it is over by that. */
     fun step(isSettled: Boolean, nowMicros: Long): Boolean {
-        if (!isSettled || unknownJobs.hasUndecided) settledMicros = null
-        if (isOver || !isSettled || unknownJobs.hasUndecided) return false
+        if (isOver) return false
+        if (!isSettled || unknownJobs.hasUndecided) {
+            settledMicros = null
+            return false
+        }
         val since = settledMicros ?: nowMicros.also { settledMicros = it }
         if (nowMicros < maxOf(since, refusedMicros) + CALM_MICROS) return false
         isOver = true
         logger.info("recovered: {}", ledger.summary())
-        val suspect = unknownJobs.standings.filterValues { it != JobStanding.OVER }
-        if (suspect.isNotEmpty()) logger.info("reported jobs without a whole record: {}", suspect)
+        if (unknownJobs.suspect.isNotEmpty()) logger.info("reported jobs without a whole record: {}", unknownJobs.suspect)
         return true
     }
 
--- a/src/main/kotlin/linemast/recovery/RecoveryStore.kt
+++ b/src/main/kotlin/linemast/recovery/RecoveryStore.kt
@@ -59,13 +59,17 @@
     }
 
     private suspend fun write() {
-        val suspect = recovery.unknownJobs.standings.filterValues { it != JobStanding.OVER }
         val value = mapOf(
             "at_us" to wallMicros(),
             "helm" to authority.fencingToken,
             "summary" to recovery.ledger.summary(),
             "jobs" to
-                suspect.entries.take(MOST_LISTED).map { (id, standing) -> mapOf("job" to id, "standing" to standing.name.lowercase()) },
+                recovery.unknownJobs.suspect.entries.take(MOST_LISTED).map { (id, standing) ->
+                    mapOf(
+                        "job" to id,
+                        "standing" to standing.name.lowercase(),
+                    )
+                },
         )
         attempt(logger) { store.commit(listOf(authority.fence), listOf(Write.Put(KEY, value)), Priority.BACKGROUND) }
     }
--- a/src/main/kotlin/linemast/recovery/UnknownJobs.kt
+++ b/src/main/kotlin/linemast/recovery/UnknownJobs.kt
@@ -48,8 +48,8 @@
 
     private val entries = LinkedHashMap<String, Entry>()
 
-    /** Ids by standing, for the record. */
-    val standings: Map<String, JobStanding> get() = entries.mapValues { it.value.standing }
+    /** Jobs that are not simply over, for operators to look at. */
+    val suspect: Map<String, JobStanding> get() = entries.mapValues { it.value.standing }.filterValues { it != JobStanding.OVER }
 
     /** Whether some job is undecided. */
     val hasUndecided: Boolean get() = entries.values.any { it.standing == JobStanding.UNDECIDED }
--- a/src/main/kotlin/linemast/settings/Settings.kt
+++ b/src/main/kotlin/linemast/settings/Settings.kt
@@ -54,6 +54,9 @@
     /** What values have to keep within: what is written now may have to be written again then. */
     val mostValueBytes: Int get() = minOf(valueBytes, next?.valueBytes ?: valueBytes)
 
+    /** Changes a second that are taken now and later. */
+    val mostWriteRps: Double get() = minOf(writeRps, next?.writeRps ?: writeRps)
+
     /** What a transaction has to keep within. */
     val mostTxnOps: Int get() = minOf(txnOps, next?.txnOps ?: txnOps)
 }
