--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,14 +17,17 @@
     await asyncio.gather(*(world.submit(job, world.nodes[number % 3]) for number, job in enumerate(before)))
     while any(f"{job['name_id']}/0" not in world.done for job in before):
         await asyncio.sleep(0.1)
-    ordinary = world.job(1, pieces=3, vcpus=5.0, run_s=6.0, guess_s=6.0)
-    await asyncio.sleep(2.0)
+    ordinary = world.job(1, pieces=3, vcpus=5.0, run_s=8.0, guess_s=8.0)
     await world.submit(ordinary, world.nodes[0])
     while not all(world.runs(f"req-000001/{index}") for index in range(3)):
         await asyncio.sleep(0.05)
-    await asyncio.sleep(2.0)
     mistaken = [world.job(2, pieces=3, vcpus=2.0, mistake=TROUBLE, run_s=2.0), world.job(3, pieces=3, mistake=TROUBLE, run_s=2.0)]
-    await asyncio.gather(*(world.submit(job, world.nodes[0]) for job in mistaken))
+    await world.submit(mistaken[0], world.nodes[0])
+    since = world.record.now()
+    while len({start[1] for start in world.starts if start[2].startswith("req-000002/")}) < 3 and world.record.now() < since + 3.0:
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(1.0)
+    await world.submit(mistaken[1], world.nodes[0])
     while (await world.poll("req-000001", world.nodes[1]))[1]["status"] != "done":
         if world.record.now() > 40:
             raise RuntimeError("the ordinary job did not end")
@@ -35,7 +38,7 @@
     await world.submit(after[0], world.nodes[0])
     waiting_since = world.record.now()
     await asyncio.gather(*(world.submit(job, world.nodes[number % 3]) for number, job in enumerate(after[1:])))
-    while world.record.now() < waiting_since + WAIT_S + 2.0:
+    while world.record.now() < waiting_since + WAIT_S + 1.0:
         empty = [w.name for w in world.cloud.machines.values()
                  if w.watch == 1 and all(task["status"] == "ended" for task in w.tasks.values())]
         if (await world.poll(after[0]["name_id"], world.nodes[1]))[1]["status"] == "done":
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -394,7 +394,7 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run(scenario, world, limit_s=115.0):
+def run(scenario, world, limit_s=116.0):
     """Runs scenario(world) and exits with its code, or with 2 if the case could not run; ends all processes that it started."""
     async def bounded():
         try:
