HeartbeatResponder: log the age of the view on which starts are sent

Cause: nothing showed on which view of the cancellations a leader sends starts, so that a start after a confirmed cancellation could come from a stale view, from a late response or from a cancellation that was read and not applied.

Change: at level debug, one line for each response with starts: their number and the age of the view.

--- a/src/main/kotlin/linemast/control/HeartbeatResponder.kt
+++ b/src/main/kotlin/linemast/control/HeartbeatResponder.kt
@@ -1,11 +1,14 @@
 package linemast.control
 
 import kotlinx.coroutines.CompletableDeferred
+import linemast.domain.Command
 import linemast.domain.Heartbeat
 import linemast.leadership.CancellationFreshness
 import linemast.leadership.LeaderLease
 import linemast.scheduling.Cluster
 import linemast.time.Clock
+import linemast.time.MICROS_PER_MILLI
+import org.slf4j.LoggerFactory
 
 /** Passes heartbeats to the cluster state and builds the responses. */
 internal class HeartbeatResponder(
@@ -16,6 +19,8 @@
     private val cancellationFreshness: CancellationFreshness,
     private val permissions: HeartbeatPermissions,
 ) {
+    private val log = LoggerFactory.getLogger(HeartbeatResponder::class.java)
+
     /** Returns the response to [heartbeat], which renews the worker's lease, or null if the leader must not respond. */
     suspend fun respond(heartbeat: Heartbeat): HeartbeatResponse? {
         if (heartbeat.fencingToken > lease.fencingToken) return null
@@ -29,6 +34,15 @@
         val now = clock.nowMicros()
         val permission = permissions.permissionAt(now) ?: return null
         val commands = cluster.heartbeat(heartbeat, now, permission) ?: return null
+        logStarts(heartbeat, commands, now)
         return HeartbeatResponse(lease.fencingToken, commands, cancellationFreshness, lease)
     }
+
+    private fun logStarts(heartbeat: Heartbeat, commands: List<Command>, nowMicros: Long) {
+        if (!log.isDebugEnabled) return
+        val starts = commands.count { it is Command.Start }
+        if (starts == 0) return
+        val viewAgeMillis = cancellationFreshness.freshAsOfMicros?.let { (nowMicros - it) / MICROS_PER_MILLI }
+        log.debug("{}: {} starts, on a view of the cancellations that is {} ms old", heartbeat.machineName, starts, viewAgeMillis)
+    }
 }
