HeartbeatResponse: no start is sent once the cancellation of its job is applied

What callers saw: a response with starts could wait on its connection while the leader applied a cancellation of one of the jobs; it was checked again at the write, but only against the age of the view, so that the start left up to 4 s after the user was told.

Cause: the check at the write did not look at the jobs whose tasks the response starts.

Change: the response keeps these jobs and is invalid once one of them is cancelled; the worker gets a 503 and reports again, as with every response that has become invalid.

--- a/src/main/kotlin/linemast/control/HeartbeatResponder.kt
+++ b/src/main/kotlin/linemast/control/HeartbeatResponder.kt
@@ -34,8 +34,9 @@
         val now = clock.nowMicros()
         val permission = permissions.permissionAt(now) ?: return null
         val commands = cluster.heartbeat(heartbeat, now, permission) ?: return null
+        val startedJobs = commands.filterIsInstance<Command.Start>().mapNotNullTo(LinkedHashSet()) { cluster.jobs[it.task.job] }
         logStarts(heartbeat, commands, now)
-        return HeartbeatResponse(lease.fencingToken, commands, cancellationFreshness, lease)
+        return HeartbeatResponse(lease.fencingToken, commands, startedJobs, cancellationFreshness, lease)
     }
 
     private fun logStarts(heartbeat: Heartbeat, commands: List<Command>, nowMicros: Long) {
--- a/src/test/kotlin/linemast/leadership/CancellationFreshnessTest.kt
+++ b/src/test/kotlin/linemast/leadership/CancellationFreshnessTest.kt
@@ -2,7 +2,10 @@
 
 import linemast.control.HeartbeatResponse
 import linemast.domain.Command
+import linemast.domain.Job
+import linemast.domain.JobRecord
 import linemast.domain.TaskId
+import linemast.testSpec
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -47,8 +50,8 @@
         val cancellationFreshness = CancellationFreshness(20_000_000)
         val leaderLease = LeaderLease(3, 1, 4_000_000, 16_000_000, 0)
         cancellationFreshness.recordRefresh(0)
-        val empty = HeartbeatResponse(3, emptyList(), cancellationFreshness, leaderLease)
-        val start = HeartbeatResponse(3, listOf(Command.Start(TaskId("req-1", 0), 1)), cancellationFreshness, leaderLease)
+        val empty = HeartbeatResponse(3, emptyList(), emptyList(), cancellationFreshness, leaderLease)
+        val start = HeartbeatResponse(3, listOf(startOf(testJob("req-1"))), listOf(testJob("req-1")), cancellationFreshness, leaderLease)
         cancellationFreshness.recordRefresh(30_000_000)
         repeat(10) { leaderLease.recordRenewal(it * 3_000_000L) }
         assertTrue(empty.isValid(19_000_000))
@@ -58,4 +61,22 @@
         leaderLease.end()
         assertFalse(empty.isValid(1))
     }
+
+    /** The leader acknowledges a cancellation as soon as it has applied it, and the user is told, while the response waits. */
+    @Test
+    fun `a response that starts a task is not sent once the cancellation of its job is applied`() {
+        val cancellationFreshness = CancellationFreshness(20_000_000)
+        val leaderLease = LeaderLease(3, 1, 4_000_000, 16_000_000, 0)
+        cancellationFreshness.recordRefresh(0)
+        val jobs = listOf(testJob("req-1"), testJob("req-2"))
+        val response = HeartbeatResponse(3, jobs.map(::startOf), jobs, cancellationFreshness, leaderLease)
+        assertTrue(response.isValid(1_000))
+        jobs.last().cancelled = true
+        assertFalse(response.isValid(1_000), "the response still starts a task of the cancelled job")
+    }
+
+    private fun testJob(id: String) =
+        Job(JobRecord(testSpec(id), acceptedWallMicros = 0, activated = true, cancelled = false), revision = 1, inherited = false)
+
+    private fun startOf(job: Job) = Command.Start(TaskId(job.id, 0), 1)
 }
