Cancellations are confirmed once no controller can start tasks of the job any more

Cause: leader and controllers agreed on nothing but the store. A leader starts tasks on a view of the cancellations that is up to 4 s old (CancellationFreshness), and the controller that committed a cancellation, or read it, told its user at once. A smaller bound on the age only makes this rarer, and would stop starts while the store is slow.

Change: each response that tells of a cancellation (to a cancel request, a status query or a submission) waits until the cancellation is in effect (CancellationBarrier). The controller reports it to the others over the peer links; a leader that may still issue commands applies it, whether or not it reaches the store, and acknowledges it. Earlier leaders can issue no commands at that time, and later ones load the state after it. Without an acknowledgement the wait lasts as long as any leader, also one of an earlier version, may start tasks on an older view: 4 s and the drift of two clocks, within the 5 s that users wait. It goes on when the user has gone, so that the repeated request finds it done. Earlier versions ignore the new flag of the status; the new messages are sent only to controllers that set it.

A stricter rule in the simulation: at no time after a controller has sent the first word of a cancellation may one send a start of that job. It holds for every simulated test, not only the new ones.

--- a/src/main/kotlin/linemast/app/Controller.kt
+++ b/src/main/kotlin/linemast/app/Controller.kt
@@ -23,6 +23,7 @@
     suspend fun run() = coroutineScope {
         val clock = SteadyClock
         val store = KeyValueStoreClient(loop, settings.storeAddress, settings.storeLimits, settings.controllerCount, clock)
+        lateinit var links: PeerLinks
         val node = ControllerNode(
             configuration = configuration,
             store = store,
@@ -31,6 +32,7 @@
             wallMicros = { System.currentTimeMillis() * MICROS_PER_MILLI },
             scope = this,
             onLeadershipChange = store::setLeader,
+            sendToPeer = { nodeName, message -> links.send(nodeName, message) },
         )
         var handler: suspend (HttpRequest) -> HttpResponse = node::route
         if (log.isDebugEnabled) {
@@ -41,7 +43,7 @@
         }
         val server = HttpServer(loop, settings.listenAddress, settings.processLimits.fdLimit - RESERVED_FILE_DESCRIPTORS, handler)
         launch { server.serve(this) }
-        val links = PeerLinks(settings, loop, node::peerStatus, node::receivePeerStatus)
+        links = PeerLinks(settings, loop, clock, node::peerStatus, node::receivePeerMessage)
         launch { links.run(this) }
         node.start()
         log.info("{} serving on {}", settings.nodeName, settings.listenAddress)
--- a/src/main/kotlin/linemast/app/ControllerNode.kt
+++ b/src/main/kotlin/linemast/app/ControllerNode.kt
@@ -11,10 +11,14 @@
 import linemast.control.LeaderEnvironment
 import linemast.jobs.JobService
 import linemast.jobs.JobServiceSettings
+import linemast.leadership.CancellationBarrier
 import linemast.leadership.Election
 import linemast.leadership.LeaderKeys
 import linemast.leadership.LeaderLease
 import linemast.leadership.LeaderView
+import linemast.peers.CancellationAcknowledgement
+import linemast.peers.CancellationNotice
+import linemast.peers.PeerMessage
 import linemast.peers.PeerStatus
 import linemast.peers.PeerView
 import linemast.store.KeyValueStore
@@ -24,7 +28,7 @@
 import linemast.transport.HttpResponse
 
 /**
- * A controller without its sockets: requests arrive through [route], statuses of peers through [receivePeerStatus].
+ * A controller without its sockets: requests arrive through [route], messages of peers through [receivePeerMessage].
  *
  * All its code runs on one thread, in [scope].
  */
@@ -37,6 +41,8 @@
     private val scope: CoroutineScope,
     /** Called with true after a term of this controller as leader has begun, and with false before the term ends. */
     onLeadershipChange: (Boolean) -> Unit = {},
+    /** Sends a message to the controller with the given name; the message may be lost. */
+    sendToPeer: (nodeName: String, message: PeerMessage) -> Unit = { _, _ -> },
 ) {
     private val settings = configuration.settings
     private val features = configuration.features
@@ -49,6 +55,10 @@
     private val leaderEnvironment = LeaderEnvironment(configuration, store, cloud, clock, wallMicros, peerView, machineTypes::types)
     private val leaderLifecycle = LeaderLifecycle(leaderEnvironment, scope, onLeadershipChange)
     private val peerStatusExchange = PeerStatusExchange(settings.nodeName, clock, leaderView, peerView, healthProbe, leaderLifecycle)
+    private val cancellationExchange =
+        CancellationExchange(settings.nodeName, leaderLifecycle, peerView, sendToPeer) { cancellationBarrier.acknowledge(it) }
+    private val cancellationBarrier: CancellationBarrier =
+        CancellationBarrier(scope, clock, settings.workers, cancellationExchange::requestAcknowledgement)
     private val admissionController = features.admission?.let { AdmissionController(FlowClassifier(settings.objectives), clock) }
     private val router = RequestRouter(
         HealthCheck(machineTypes, healthProbe, peerView, clock),
@@ -74,8 +84,12 @@
     /** Returns the status that this controller sends to its peers at this time. */
     fun peerStatus(): PeerStatus = peerStatusExchange.buildStatus()
 
-    /** Processes a status received from another controller. */
-    fun receivePeerStatus(status: PeerStatus) = peerStatusExchange.receive(status)
+    /** Processes a message received from another controller. */
+    fun receivePeerMessage(message: PeerMessage) = when (message) {
+        is PeerStatus -> peerStatusExchange.receive(message)
+        is CancellationNotice -> cancellationExchange.receive(message)
+        is CancellationAcknowledgement -> cancellationExchange.receive(message)
+    }
 
     private fun createElection() = Election(
         store,
@@ -99,6 +113,7 @@
         clock = clock,
         wallMicros = wallMicros,
         machineTypes = machineTypes::types,
+        cancellationBarrier = cancellationBarrier,
         progress = { id -> leaderLifecycle.leader?.progressOf(id) ?: peerView.progressOf(id) },
         admission = admissionController,
     )
--- a/src/main/kotlin/linemast/app/PeerStatusExchange.kt
+++ b/src/main/kotlin/linemast/app/PeerStatusExchange.kt
@@ -33,6 +33,7 @@
             healthProbe.isHealthy,
             receivesHeartbeats,
             leader?.progress() ?: emptyMap(),
+            acknowledgesCancellations = true,
         )
     }
 
--- a/src/main/kotlin/linemast/control/Leader.kt
+++ b/src/main/kotlin/linemast/control/Leader.kt
@@ -52,6 +52,9 @@
     /** Records that the controller [node] has seen [fencingToken]. */
     fun recordPeerToken(node: String, fencingToken: Long) = previousLeaderTracker.recordPeerToken(node, fencingToken)
 
+    /** See [ReportedCancellations.apply]. */
+    fun applyCancellation(jobId: String, onAcknowledged: () -> Unit) = components.reportedCancellations.apply(jobId, onAcknowledged)
+
     /** Returns the task counts of job [id], or null if the leader has no such job. */
     fun progressOf(id: String): JobProgress? = components.jobStatistics.progressOf(id)
 
--- a/src/main/kotlin/linemast/control/LeaderComponents.kt
+++ b/src/main/kotlin/linemast/control/LeaderComponents.kt
@@ -51,6 +51,7 @@
     val reconciliationMonitor = stateReconciliation?.let {
         ReconciliationMonitor(term.store, term.lease, term.clock, term.wallMicros, it, cluster::isReconciled, term.eventLoop::enqueue)
     }
+    val reportedCancellations = ReportedCancellations(term, cluster)
     val jobStatistics = JobStatistics(term.eventLoop, cluster, flowClassifier)
 
     /** Makes the admission plan; null if fair admission is not enabled. */
--- a/src/main/kotlin/linemast/jobs/JobResponse.kt
+++ b/src/main/kotlin/linemast/jobs/JobResponse.kt
@@ -19,11 +19,18 @@
 
 /** Result of a user's request; [JobResponseCodec] encodes it as an HTTP response. */
 internal sealed interface JobResponse {
+    /** Id of the job that the response reports as cancelled; null if it reports no cancellation. */
+    val cancelledJobId: String? get() = null
+
     /** This request submitted the job, and the job was accepted. */
-    data class Accepted(val id: String, val state: JobState) : JobResponse
+    data class Accepted(val id: String, val state: JobState) : JobResponse {
+        override val cancelledJobId get() = id.takeIf { state == JobState.CANCELLED }
+    }
 
     /** State of a job that was accepted before, with counts of its tasks for display. */
-    data class Status(val id: String, val state: JobState, val progress: JobProgress) : JobResponse
+    data class Status(val id: String, val state: JobState, val progress: JobProgress) : JobResponse {
+        override val cancelledJobId get() = id.takeIf { state == JobState.CANCELLED }
+    }
 
     /** The submission is rejected and can never be accepted. */
     data class Rejected(val reason: String) : JobResponse
--- a/src/main/kotlin/linemast/jobs/JobService.kt
+++ b/src/main/kotlin/linemast/jobs/JobService.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import linemast.admission.AdmissionController
 import linemast.domain.MachineType
+import linemast.leadership.CancellationBarrier
 import linemast.settings.Team
 import linemast.store.KeyValueStore
 import linemast.store.StoreException
@@ -37,6 +38,8 @@
     /** Returns the machine types of the cloud; null until they have been read. */
     machineTypes: () -> List<MachineType>?,
     progress: ProgressSource,
+    /** Holds each response that tells of a cancellation until no controller starts a task of the job any more. */
+    private val cancellationBarrier: CancellationBarrier,
     /** Defers submissions that exceed the share of their flow; null if all submissions are admitted. */
     admission: AdmissionController? = null,
 ) {
@@ -76,7 +79,7 @@
 
     private suspend fun respond(handle: suspend () -> JobResponse): HttpResponse {
         val response = try {
-            handle()
+            handle().also { response -> response.cancelledJobId?.let { cancellationBarrier.awaitEffect(it) } }
         } catch (e: StoreException) {
             log.debug("request rejected: {}; responding with 503", e.message)
             JobResponse.Unavailable
--- a/src/main/kotlin/linemast/leadership/CancellationFreshness.kt
+++ b/src/main/kotlin/linemast/leadership/CancellationFreshness.kt
@@ -31,7 +31,7 @@
 
     /**
      * Until when tasks may be started; [NEVER] before the first read. The view may be at most [MAX_START_STALENESS_MICROS] old, and
-     * never older than for a renewal, because no task may be started whose job has a confirmed cancellation.
+     * never older than for a renewal. Controllers of earlier versions rely on the same bound: [CancellationBarrier] waits for it.
      */
     val startsAllowedUntilMicros: Long
         get() = freshAsOfMicros?.let { it + minOf(MAX_START_STALENESS_MICROS, maxRenewalStalenessMicros) } ?: NEVER
@@ -48,6 +48,10 @@
         /** Limits the margin if the settings are short: to the cancellation time less the worker's lease, divided by this. */
         private const val MARGIN_DIVISOR = 4
 
+        /** Returns the greatest age of the view at which a leader starts tasks, with the given settings. */
+        fun maxStartStalenessMicros(workers: WorkerSettings): Long =
+            minOf(MAX_START_STALENESS_MICROS, maxRenewalStalenessMicros(workers.leaseMicros, workers.cancellationDeadlineMicros))
+
         /**
          * Returns how long after a read was sent a worker's lease may be renewed. This time plus the lease granted by the last
          * permitted response is less than the time that a cancellation may take.
--- a/src/main/kotlin/linemast/peers/PeerStatus.kt
+++ b/src/main/kotlin/linemast/peers/PeerStatus.kt
@@ -14,12 +14,14 @@
  * @property reachesStore whether the sender's latest read of the key-value store succeeded.
  * @property receivesHeartbeats whether the sender has received a heartbeat of a worker recently.
  * @property progress task counts by job id; only the leader sends them, and the codec encodes the first thousand.
+ * @property acknowledgesCancellations whether the sender understands a [CancellationNotice]; controllers of earlier versions do not.
  */
 class PeerStatus(
-    val nodeName: String,
+    override val nodeName: String,
     val fencingToken: Long,
     val isLeader: Boolean,
     val reachesStore: Boolean,
     val receivesHeartbeats: Boolean,
     val progress: Map<String, JobProgress>,
-)
+    val acknowledgesCancellations: Boolean = false,
+) : PeerMessage
--- a/src/main/kotlin/linemast/peers/PeerStatusCodec.kt
+++ b/src/main/kotlin/linemast/peers/PeerStatusCodec.kt
@@ -17,20 +17,22 @@
     private const val IS_LEADER_FLAG = 1
     private const val REACHES_STORE_FLAG = 2
     private const val RECEIVES_HEARTBEATS_FLAG = 4
+
+    /** Controllers of earlier versions ignore this flag and never set it. */
+    private const val ACKNOWLEDGES_CANCELLATIONS_FLAG = 8
     private const val MAX_JOBS = 1_000
-    private const val MAX_TEXT_BYTES = 200
 
     /** Returns the encoded status, without the length that precedes it on the wire. */
     fun encode(status: PeerStatus): Buffer {
         val out = Buffer()
         out.writeByte(VERSION)
-        writeText(out, status.nodeName)
+        PeerText.write(out, status.nodeName)
         out.writeLong(status.fencingToken)
         out.writeByte(flagsOf(status))
         val progress = status.progress.entries.take(MAX_JOBS)
         out.writeShort(progress.size)
         for ((jobId, counts) in progress) {
-            writeText(out, jobId)
+            PeerText.write(out, jobId)
             out.writeInt(counts.completed)
             out.writeInt(counts.running)
         }
@@ -42,13 +44,14 @@
         if (status.isLeader) flags = flags or IS_LEADER_FLAG
         if (status.reachesStore) flags = flags or REACHES_STORE_FLAG
         if (status.receivesHeartbeats) flags = flags or RECEIVES_HEARTBEATS_FLAG
+        if (status.acknowledgesCancellations) flags = flags or ACKNOWLEDGES_CANCELLATIONS_FLAG
         return flags
     }
 
     /** Decodes a status; throws a [MalformedException] if [from] does not hold exactly one status. */
     fun decode(from: Buffer): PeerStatus = try {
         if (from.readByte().toInt() != VERSION) malformed("unsupported version")
-        val nodeName = readText(from)
+        val nodeName = PeerText.read(from)
         val fencingToken = from.readLong()
         val flags = from.readByte().toInt()
         val progress = readProgress(from)
@@ -60,6 +63,7 @@
             reachesStore = flags and REACHES_STORE_FLAG != 0,
             receivesHeartbeats = flags and RECEIVES_HEARTBEATS_FLAG != 0,
             progress = progress,
+            acknowledgesCancellations = flags and ACKNOWLEDGES_CANCELLATIONS_FLAG != 0,
         )
     } catch (e: EOFException) {
         malformed("the bytes end before the last job")
@@ -69,21 +73,9 @@
         val count = from.readShort().toInt()
         if (count !in 0..MAX_JOBS) malformed("the number of jobs is out of range")
         val progress = LinkedHashMap<String, JobProgress>(count * 2)
-        repeat(count) { progress[readText(from)] = JobProgress(from.readInt(), from.readInt()) }
+        repeat(count) { progress[PeerText.read(from)] = JobProgress(from.readInt(), from.readInt()) }
         return progress
     }
 
-    private fun writeText(out: Buffer, text: String) {
-        val bytes = text.encodeToByteArray()
-        out.writeShort(bytes.size)
-        out.write(bytes)
-    }
-
-    private fun readText(from: Buffer): String {
-        val length = from.readShort().toInt()
-        if (length !in 0..MAX_TEXT_BYTES) malformed("the length of a text is out of range")
-        return from.readUtf8(length.toLong())
-    }
-
     private fun malformed(problem: String): Nothing = throw MalformedException("peer status: $problem")
 }
--- a/src/main/kotlin/linemast/peers/PeerView.kt
+++ b/src/main/kotlin/linemast/peers/PeerView.kt
@@ -23,6 +23,10 @@
     /** Whether this controller has received a status of any other controller recently. */
     val hasReachablePeer: Boolean get() = freshStatuses().isNotEmpty()
 
+    /** Names of the other controllers to which a [CancellationNotice] may be sent, according to their latest statuses. */
+    val nodesThatAcknowledgeCancellations: List<String>
+        get() = latestByNode.values.filter { it.status.acknowledgesCancellations }.map { it.status.nodeName }
+
     private fun freshStatuses(): List<PeerStatus> {
         val nowMicros = clock.nowMicros()
         return latestByNode.values.filter { nowMicros - it.receivedMicros < STATUS_FRESH_MICROS }.map { it.status }
--- a/src/main/kotlin/linemast/scheduling/Cluster.kt
+++ b/src/main/kotlin/linemast/scheduling/Cluster.kt
@@ -79,6 +79,7 @@
     /** Whether the state has changed since the last scheduling cycle in a way that may let the scheduler place more tasks. */
     var needsScheduling = true
 
+    private val unreadCancellations = UnreadCancellations()
     private val timing = WorkerTiming(settings.workers)
     private val scheduler = Scheduler(this, settings, policies.roundRobin)
     private val cycleTimer = CycleTimer(clocks.monotonic)
@@ -128,8 +129,15 @@
         needsScheduling = true
     }
 
+    /** Applies the cancellation of the job with [id], which the store holds; the job may be unknown to this leader. */
+    fun applyCancellation(id: String, nowMicros: Long) {
+        unreadCancellations.add(id, nowMicros)
+        jobs[id]?.let(::cancel)
+    }
+
     private fun addJob(record: JobRecord, revision: Long, inherited: Boolean) {
         val job = Job(record, revision, inherited)
+        if (job.id in unreadCancellations) job.cancelled = true
         if (job.cancelled) job.cancelledSinceMicros = clocks.monotonic.nowMicros()
         jobs[job.id] = job
     }
@@ -151,7 +159,7 @@
         needsScheduling = true
     }
 
-    /** Cancels [job] irrevocably: its user has received the confirmation of the cancellation. */
+    /** Cancels [job] irrevocably: the store holds its cancellation. */
     fun cancel(job: Job) {
         if (job.cancelled) return
         job.cancelled = true
@@ -212,6 +220,7 @@
 
     /** Does the periodic work: expires leases and reservations, persists progress of jobs, and runs a scheduling cycle if one is due. */
     fun tick(nowMicros: Long) {
+        unreadCancellations.removeRead(cancellationFreshness)
         leaseExpiry.expireLeases(nowMicros)
         expireReservations(nowMicros)
         // Tasks assigned to a machine whose heartbeat is overdue have to be assigned to another one.
--- a/src/test/kotlin/linemast/jobs/DependencyCheckTest.kt
+++ b/src/test/kotlin/linemast/jobs/DependencyCheckTest.kt
@@ -160,6 +160,7 @@
         wallMicros = { 0L },
         machineTypes = { TYPES },
         progress = { null },
+        cancellationBarrier = acknowledgedCancellations(clock),
     )
 
     /** Limits the rate of calls like a controller's rate limiter, and fails a call that would have to wait too long for a token. */
--- a/src/test/kotlin/linemast/jobs/JobServiceFixture.kt
+++ b/src/test/kotlin/linemast/jobs/JobServiceFixture.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.test.TestScope
 import linemast.admission.AdmissionController
 import linemast.domain.MachineType
+import linemast.leadership.CancellationBarrier
 import linemast.serialization.Cbor
 import linemast.settings.Team
 import linemast.simulation.SimStore
@@ -46,9 +47,17 @@
     wallMicros = { 0L },
     machineTypes = types,
     progress = { null },
+    cancellationBarrier = acknowledgedCancellations(Clock { testScheduler.currentTime * 1_000 + 1 }),
     admission = admission,
 )
 
+/** A barrier whose cancellations are in effect at once, as with a leader that is connected to this controller. */
+internal fun TestScope.acknowledgedCancellations(clock: Clock): CancellationBarrier {
+    lateinit var barrier: CancellationBarrier
+    barrier = CancellationBarrier(backgroundScope, clock, maxStartStalenessMicros = 4_000_000L) { barrier.acknowledge(it) }
+    return barrier
+}
+
 /** Submits [job]; returns the HTTP status code. */
 internal suspend fun submit(jobService: JobService, job: Map<String, Any?>) = status(jobService, "POST", "/v1/jobs", Cbor.encode(job))
 
--- a/src/test/kotlin/linemast/simulation/InvariantChecks.kt
+++ b/src/test/kotlin/linemast/simulation/InvariantChecks.kt
@@ -2,7 +2,10 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import linemast.serialization.Cbor
+import linemast.serialization.Fields
 import linemast.settings.Settings
+import linemast.transport.HttpResponse
 
 /** Checks the rules of the protocol on a [SimWorld] and collects the violations. */
 class InvariantChecks(private val world: SimWorld, settings: Settings) {
@@ -52,6 +55,30 @@
         }
     }
 
+    /** Checks a [response] to a request for [path] at the time at which a controller sends it, which may be long before it arrives. */
+    fun checkSentResponse(path: String, response: HttpResponse) {
+        if (response.status !in 200..201 || response.body.isEmpty()) return
+        val body = Cbor.decodeMap(response.body)
+        if (path == HEARTBEAT_PATH) return body.children("orders").forEach(::checkSentCommand)
+        if (body.textOrNull("status") != "withdrawn") return
+        val job = jobs[body.text("name_id")] ?: return
+        recordToldCancelled(job)
+    }
+
+    private fun recordToldCancelled(job: SimJob) {
+        if (job.toldCancelledMicros == null) job.toldCancelledMicros = clock.nowMicros()
+    }
+
+    private fun checkSentCommand(command: Fields) {
+        if (command.text("verb") != "start") return
+        val task = command.text("piece")
+        val job = jobs.getValue(task.substringBefore('/'))
+        val toldMicros = job.toldCancelledMicros ?: return
+        val sinceMillis = (clock.nowMicros() - toldMicros) / 1_000
+        if (sinceMillis <= 0) return
+        recordViolation(Invariant.CANCELLED_JOB_IS_NOT_STARTED, job.id, "$task is started $sinceMillis ms after a user was told")
+    }
+
     private fun checkStartsAfterDependencies(job: SimJob) {
         for (id in job.dependencies) {
             val isDone = world.isCompleted(jobs.getValue(id)) && world.store.valueOf("j/$id")?.text("verdict") == "done"
@@ -166,6 +193,7 @@
     private fun vcpusUsedOn(machine: SimWorker) = machine.tasks.values.filter { it.status != "ended" }.sumOf { jobs.getValue(it.job).vcpus }
 
     private companion object {
+        const val HEARTBEAT_PATH = "/agent/beat"
         const val CHECK_INTERVAL_MILLIS = 500L
 
         /** How long a job may stay pending although it could start. */
--- a/src/test/kotlin/linemast/simulation/SimJob.kt
+++ b/src/test/kotlin/linemast/simulation/SimJob.kt
@@ -40,6 +40,9 @@
     /** When a user first received the status `withdrawn`; null before. */
     var cancelledMicros: Long? = null
 
+    /** When a controller first sent a response with the status `withdrawn`, whether or not it arrived; null before. */
+    var toldCancelledMicros: Long? = null
+
     /** Whether a user has requested the cancellation. */
     var cancelRequested = false
 
--- a/src/test/kotlin/linemast/simulation/SimNetwork.kt
+++ b/src/test/kotlin/linemast/simulation/SimNetwork.kt
@@ -11,6 +11,12 @@
     /** Longest latency of a request from a worker or a user to a controller. */
     var maxLatencyMillis = 10L
 
+    /** Longest latency of a message between controllers other than a status. */
+    var maxPeerLatencyMillis = 10L
+
+    /** Whether controllers exchange messages about cancellations; controllers of earlier versions do not. */
+    var deliversCancellationMessages = true
+
     /** Probability that a duplicate of a heartbeat arrives after a delay of up to several leases. */
     var delayedDuplicateProbability = 0.0
 
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -10,6 +10,7 @@
 import linemast.app.ControllerNode
 import linemast.control.ControllerConfiguration
 import linemast.domain.MachineType
+import linemast.peers.PeerMessage
 import linemast.serialization.MalformedException
 import linemast.settings.Features
 import linemast.settings.Policy
@@ -90,12 +91,24 @@
                 scope.launch {
                     delay(delayMillis)
                     network.awaitResume(to)
-                    nodes[to]?.receivePeerStatus(status)
+                    nodes[to]?.receivePeerMessage(status)
                 }
             }
         }
     }
 
+    /** Sends a message between controllers; returns without waiting for its delivery, and may lose it. */
+    private fun sendPeerMessage(from: Int, to: Int, message: PeerMessage) {
+        if (!network.deliversCancellationMessages || from in previousVersionControllers || to in previousVersionControllers) return
+        scope.launch {
+            network.awaitResume(from)
+            if (network.isPartitioned(from, to) || random.nextDouble() < network.messageLossProbability) return@launch
+            delay(random.nextLong(1, network.maxPeerLatencyMillis))
+            network.awaitResume(to)
+            nodes[to]?.receivePeerMessage(message)
+        }
+    }
+
     /** Controllers that read and write the store as the version before pipelines does. */
     val previousVersionControllers = HashSet<Int>()
 
@@ -112,6 +125,7 @@
             clockOf(controller),
             clock::nowMicros,
             nodeScope,
+            sendToPeer = { to, message -> sendPeerMessage(controller, to.removePrefix("mast-").toInt(), message) },
         )
         nodeScopes[controller] = nodeScope
         nodes[controller] = node
@@ -157,7 +171,9 @@
         }
         network.awaitResume(controller)
         if (nodes[controller] !== node || network.isPartitionedByZone(controller, zone)) return null
-        return if (response.isStillValid()) response else HttpResponse.unavailable()
+        if (!response.isStillValid()) return HttpResponse.unavailable()
+        checks.checkSentResponse(path, response)
+        return response
     }
 
     /** Returns the tasks that have not ended. Tasks of a worker whose lease has expired do not count: it ends them when it resumes. */
--- a/src/test/kotlin/linemast/simulation/Violation.kt
+++ b/src/test/kotlin/linemast/simulation/Violation.kt
@@ -17,6 +17,9 @@
     /** Tasks of a cancelled job end within the time limit for cancellations. */
     CANCELLED_JOB_STOPS("ran_cancelled"),
 
+    /** No controller sends a start of a job's task after any controller has told a user that the job is cancelled. */
+    CANCELLED_JOB_IS_NOT_STARTED("started_cancelled"),
+
     /** An accepted job stays accepted and known: no submission of it is rejected, and no poll gets status 404. */
     ACCEPTED_JOB_IS_KNOWN("forgotten"),
 
