DependencyCheck: a dependent job is cancelled once the cancellation it depends on is in effect

What callers saw: the user of a dependent job could be told that it is cancelled, and so that the job it depends on is, while a leader still started tasks of that one: the controller asked the leader about the dependent job only.

Change: the check of the dependencies waits for the effect of the cancellation that it finds.

The simulation counts a job as told when a job that depends on it is reported cancelled.

--- a/src/main/kotlin/linemast/jobs/DependencyCheck.kt
+++ b/src/main/kotlin/linemast/jobs/DependencyCheck.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import linemast.domain.JobOutcome
+import linemast.leadership.CancellationBarrier
 import linemast.store.StoreException
 import linemast.time.MICROS_PER_MILLI
 
@@ -18,11 +19,17 @@
  * dependencies of a job never change, and an open outcome is cached for a limited time only. So every check that begins at
  * least that time after a cancellation was confirmed finds the cancellation.
  */
-internal class DependencyCheck(private val outcomes: OutcomeReader, private val scope: CoroutineScope, private val timeoutMicros: Long) {
+internal class DependencyCheck(
+    private val outcomes: OutcomeReader,
+    private val scope: CoroutineScope,
+    private val timeoutMicros: Long,
+    private val cancellationBarrier: CancellationBarrier,
+) {
     private val runningChecks = HashMap<Set<String>, CompletableDeferred<Result<Boolean>>>()
 
     /**
-     * Whether one of [dependencies] or of their transitive dependencies is cancelled.
+     * Whether one of [dependencies] or of their transitive dependencies is cancelled. If so, that cancellation is in effect: the
+     * response about the dependent job tells its user of it too.
      *
      * Concurrent calls with the same dependencies share one check. A caller gets a [StoreException] when the check takes longer
      * than a user waits; the check continues, and the next call uses the outcomes that were read in the meantime.
@@ -58,9 +65,13 @@
         val visited = HashSet(dependencies)
         var level: Collection<String> = dependencies
         while (level.isNotEmpty()) {
-            val records = reader.read(level).values
-            if (records.any { it.outcome == JobOutcome.CANCELLED }) return true
-            level = records.filter { it.outcome == JobOutcome.OPEN }.flatMap { it.dependencies }.filter(visited::add)
+            val records = reader.read(level)
+            val cancelled = records.entries.find { it.value.outcome == JobOutcome.CANCELLED }
+            if (cancelled != null) {
+                cancellationBarrier.awaitEffect(cancelled.key)
+                return true
+            }
+            level = records.values.filter { it.outcome == JobOutcome.OPEN }.flatMap { it.dependencies }.filter(visited::add)
         }
         return false
     }
--- a/src/main/kotlin/linemast/jobs/JobService.kt
+++ b/src/main/kotlin/linemast/jobs/JobService.kt
@@ -45,7 +45,8 @@
 ) {
     private val log = LoggerFactory.getLogger(JobService::class.java)
     private val outcomes = OutcomeReader(store, scope, clock, settings.cancellationDeadlineMicros / OUTCOME_AGE_DIVISOR)
-    private val dependencyCheck = DependencyCheck(outcomes, scope, settings.cancellationDeadlineMicros / DEPENDENCY_CHECK_DIVISOR)
+    private val dependencyCheck =
+        DependencyCheck(outcomes, scope, settings.cancellationDeadlineMicros / DEPENDENCY_CHECK_DIVISOR, cancellationBarrier)
     private val statusReporter = JobStatusReporter(progress)
     private val cancellation = CancellationHandler(store, outcomes, statusReporter, machineTypes)
     private val statusQuery = StatusQueryHandler(outcomes, dependencyCheck, cancellation, statusReporter)
--- a/src/test/kotlin/linemast/jobs/DependencyCheckTest.kt
+++ b/src/test/kotlin/linemast/jobs/DependencyCheckTest.kt
@@ -113,6 +113,7 @@
             OutcomeReader(store.clientOf("mast-0"), controller, clock, CANCELLATION_MICROS),
             controller,
             CANCELLATION_MICROS,
+            acknowledgedCancellations(clock),
         )
         val caller = async { runCatching { check.dependsOnCancelled(listOf(id(400))) } }
         delay(5)
--- a/src/test/kotlin/linemast/simulation/CancellationConfirmationTest.kt
+++ b/src/test/kotlin/linemast/simulation/CancellationConfirmationTest.kt
@@ -73,6 +73,29 @@
         cancelOnceAt(follower)
     }
 
+    /** A controller that has not read the outcome of the first job for long cancels the dependent jobs right after the commit. */
+    @ParameterizedTest
+    @ValueSource(ints = [145, 146, 147, 148])
+    fun `no task is started after the user of a dependent job was told of the cancellation`(seed: Int) = run(seed, ::askOneFollowerOnly) {
+        val dependents = listOf("req-980001" to job.id, "req-980002" to "req-980001").map { (id, dependency) -> dependent(id, dependency) }
+        world.users.submitPipeline(dependents)
+        while (dependents.any { !it.accepted }) delay(100)
+        refuseLeader()
+        world.network.partitioned += if (seed % 2 == 0) leader else follower
+        val late = dependent("req-980003", job.id)
+        world.jobs[late.id] = late
+        world.store.onApplied = { _, writes ->
+            if (writes.any { it.key == "j/${job.id}" }) {
+                dependents.forEach { askUntilTold(it) { world.send(otherFollower, "GET", "/v1/jobs/${it.id}", ByteArray(0)) } }
+                askUntilTold(late) { world.send(otherFollower, "POST", "/v1/jobs", Cbor.encode(late.submissionBody())) }
+            }
+        }
+        cancelOnceAt(follower)
+        delay(15_000)
+        assertEquals(emptyList<String>(), (dependents + late).filter { it.toldCancelledMicros == null }.map { it.id }, "users not told")
+        world.users.pollingSuspended = false
+    }
+
     /** The leader resumes with heartbeats and with a watch from before the cancellation. */
     @ParameterizedTest
     @ValueSource(ints = [124, 125, 126, 127])
@@ -148,6 +171,17 @@
         val follower = (leader + 1) % CONTROLLER_COUNT
         val otherFollower = (leader + 2) % CONTROLLER_COUNT
 
+        fun dependent(id: String, dependency: String) =
+            SimJob(id, "north", 2, 1.0, false, false, false, true, 1_000_000, dependencies = listOf(dependency))
+
+        /** Repeats [request] like a user until a response tells that [job] is cancelled. */
+        fun askUntilTold(job: SimJob, request: suspend () -> Unit) = scope.launch {
+            while (job.toldCancelledMicros == null) {
+                request()
+                delay(1_000)
+            }
+        }
+
         fun refuseLeader() {
             world.store.refusedControllers += "mast-$leader"
         }
@@ -169,6 +203,12 @@
         }
     }
 
+    /** Without requests the other follower caches no outcome. */
+    private fun askOneFollowerOnly(world: SimWorld) {
+        world.users.pollingSuspended = true
+        world.users.chooseController = { (leaderOf(world) + 1) % CONTROLLER_COUNT }
+    }
+
     private fun run(seed: Int, configure: (SimWorld) -> Unit = {}, faults: suspend Scenario.() -> Unit) {
         println("seed $seed")
         val world = simulate(seed, configure = configure) { world ->
--- a/src/test/kotlin/linemast/simulation/InvariantChecks.kt
+++ b/src/test/kotlin/linemast/simulation/InvariantChecks.kt
@@ -63,6 +63,8 @@
         if (body.textOrNull("status") != "withdrawn") return
         val job = jobs[body.text("name_id")] ?: return
         recordToldCancelled(job)
+        // A job that nobody has asked to cancel is cancelled because of a job that it depends on: the response tells of both.
+        if (!job.cancelRequested) ancestors(job).filter { it.cancelRequested }.takeIf { it.size == 1 }?.forEach(::recordToldCancelled)
     }
 
     private fun recordToldCancelled(job: SimJob) {
