Cluster: a late record does not bring an ended job back

A job that its user had cancelled could be started again, if the response to its release, or a read after a conflicting write, arrived after the job's end had been applied.

Cause: the same view from before the cancellation, on two other paths. BlockedJobStore.release applies the record that it has committed when the response arrives, and JobStore.reload the one that it has read; by then the watch may have delivered the cancellation and the deletion of the record, and Cluster.applyJobRecord added the job as a new one.

Change: the cluster knows up to which revision all changes of open jobs are applied, and ignores a record of an unknown job that is not newer: had the job not ended, it would be known.

Evidence: DependencyCoordinatorTest, 'a late response to a release does not bring a cancelled job back', failed before the change (the leader held the job req-2 as open) and passes with it."; the path through JobStore.reload has no test of its own."

--- a/src/main/kotlin/linemast/control/JobWatcher.kt
+++ b/src/main/kotlin/linemast/control/JobWatcher.kt
@@ -30,8 +30,8 @@
         /** Applies all entries of [page], since changes were missed. */
         fun applyAll(page: EntryPage)
 
-        /** Records that everything that the store held at [sentMicros], when the call was sent, has been applied. */
-        fun recordRefresh(sentMicros: Long)
+        /** Records that everything that the store held at [revision], and when the call was sent at [sentMicros], has been applied. */
+        fun recordRefresh(sentMicros: Long, revision: Long)
     }
 
     private val openJobs = object : Subscription {
@@ -42,7 +42,10 @@
 
         override fun applyAll(page: EntryPage) = openJobUpdates.applyAll(page)
 
-        override fun recordRefresh(sentMicros: Long) = cancellationFreshness.recordRefresh(sentMicros)
+        override fun recordRefresh(sentMicros: Long, revision: Long) {
+            openJobUpdates.recordAppliedRevision(revision)
+            cancellationFreshness.recordRefresh(sentMicros)
+        }
     }
 
     private val blockedJobs = object : Subscription {
@@ -53,7 +56,7 @@
 
         override fun applyAll(page: EntryPage) = dependencyCoordinator.reload(page.entries)
 
-        override fun recordRefresh(sentMicros: Long) = Unit
+        override fun recordRefresh(sentMicros: Long, revision: Long) = Unit
     }
 
     /** Starts watching, in the term's scope, for changes after [revisions]. */
@@ -74,7 +77,7 @@
             is WatchResult.Changes -> {
                 term.eventLoop.enqueue {
                     subscription.applyChanges(result.changes)
-                    subscription.recordRefresh(sentMicros)
+                    subscription.recordRefresh(sentMicros, result.revision)
                 }
                 maxOf(revision, result.revision)
             }
@@ -82,7 +85,7 @@
                 val page = term.store.listAll(subscription.prefix)
                 term.eventLoop.enqueue {
                     subscription.applyAll(page)
-                    subscription.recordRefresh(sentMicros)
+                    subscription.recordRefresh(sentMicros, page.revision)
                 }
                 page.revision
             }
--- a/src/main/kotlin/linemast/control/OpenJobUpdates.kt
+++ b/src/main/kotlin/linemast/control/OpenJobUpdates.kt
@@ -25,6 +25,9 @@
         }
     }
 
+    /** Records that all changes up to the store's [revision] have been applied. */
+    fun recordAppliedRevision(revision: Long) = cluster.recordAppliedRevision(revision)
+
     /** Applies all records of [page], since changes were missed. */
     fun applyAll(page: EntryPage) = page.entries.forEach { cluster.applyJobRecord(JobRecordCodec.decode(it.value), it.revision) }
 }
--- a/src/main/kotlin/linemast/scheduling/Cluster.kt
+++ b/src/main/kotlin/linemast/scheduling/Cluster.kt
@@ -80,6 +80,7 @@
     var needsScheduling = true
 
     private val unreadCancellations = UnreadCancellations()
+    private var appliedRevision = 0L
     private val timing = WorkerTiming(settings.workers)
     private val scheduler = Scheduler(this, settings, policies.roundRobin)
     private val cycleTimer = CycleTimer(clocks.monotonic)
@@ -116,10 +117,17 @@
     fun heartbeat(heartbeat: Heartbeat, nowMicros: Long, permission: CommandPermission = CommandPermission.ALL): List<Command>? =
         heartbeatHandler.handle(heartbeat, nowMicros, permission)
 
-    /** Applies a job's record as stored at [revision]. */
+    /** Records that all changes of open jobs up to the store's [revision] have been applied. */
+    fun recordAppliedRevision(revision: Long) {
+        appliedRevision = maxOf(appliedRevision, revision)
+    }
+
+    /** Applies a job's record as stored at [revision]; ignores the late record of a job that has ended. */
     fun applyJobRecord(record: JobRecord, revision: Long) {
         val job = jobs[record.spec.id]
         if (job == null) {
+            // The job was added when the changes up to this revision were applied, and has ended since.
+            if (revision <= appliedRevision) return
             // Not inherited: jobs that a previous leader activated were in the store when the state was loaded.
             addJob(record, revision, inherited = false)
         } else {
--- a/src/test/kotlin/linemast/control/DependencyCoordinatorTest.kt
+++ b/src/test/kotlin/linemast/control/DependencyCoordinatorTest.kt
@@ -1,5 +1,6 @@
 package linemast.control
 
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import linemast.domain.JobOutcome
@@ -7,6 +8,7 @@
 import linemast.domain.JobRecord
 import linemast.jobs.JobKeys
 import linemast.jobs.JobRecordCodec
+import linemast.leadership.CancellationFreshness
 import linemast.scheduling.ClusterFixture
 import linemast.scheduling.FakeWorker
 import linemast.serialization.Fields
@@ -98,13 +100,47 @@
         assertEquals(emptySet<String>(), fixture.cluster.jobs.keys)
     }
 
-    private fun TestScope.coordinator(store: KeyValueStore, fixture: ClusterFixture) = DependencyCoordinator(
-        testTerm(
-            store,
-            backgroundScope,
-            Clock { fixture.nowMicros },
-            StoreLimits(rps = 100.0, writeRps = 30.0, valueBytes = 8_192, txnOps = 5),
-        ),
-        fixture.cluster,
+    /** The response to the release comes so late that the released job has been cancelled, and its record deleted, by then. */
+    @Test
+    fun `a late response to a release does not bring a cancelled job back`() = runTest {
+        val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
+        val store = SimStore(backgroundScope, clock, Random(3))
+        val client = store.clientOf("mast-0")
+        val blocked = JobRecord(testSpec("req-2", "awaits" to listOf("req-1")), 0, activated = false, cancelled = false)
+        client.commit(emptyList(), listOf(Write.Put("leader", emptyMap())))
+        client.commit(emptyList(), listOf(Write.Put(JobKeys.blocked("req-2"), JobRecordCodec.encode(blocked))))
+        val open = JobKeys.open("req-2")
+        val storeRespondingLate = object : KeyValueStore by client {
+            override suspend fun commit(preconditions: List<Precondition>, writes: List<Write>, priority: RequestPriority): CommitResult {
+                val released = client.commit(preconditions, writes, priority)
+                client.commit(emptyList(), listOf(Write.Put(open, JobRecordCodec.encode(blocked.released(1).with(cancelled = true)))))
+                delay(500)
+                client.commit(emptyList(), listOf(Write.Delete(open)))
+                delay(500)
+                return released
+            }
+        }
+        val fixture = ClusterFixture()
+        val term = term(storeRespondingLate, fixture)
+        val coordinator = DependencyCoordinator(term, fixture.cluster)
+        val entries = client.list(JobKeys.BLOCKED_PREFIX, null)
+        coordinator.load(entries.entries)
+        val watcher =
+            JobWatcher(term, OpenJobUpdates(fixture.cluster, coordinator), coordinator, CancellationFreshness(fixture.workers))
+        watcher.start(JobRevisions(open = entries.revision, blocked = entries.revision))
+        coordinator.recordOutcome("req-1", JobOutcome.DONE)
+        testScheduler.advanceTimeBy(5_000)
+        assertEquals(emptySet<String>(), store.keysUnder("o/") + store.keysUnder("w/"))
+        assertEquals(emptySet<String>(), fixture.cluster.jobs.keys, "the leader would start the tasks of the cancelled job")
+    }
+
+    private fun TestScope.coordinator(store: KeyValueStore, fixture: ClusterFixture) =
+        DependencyCoordinator(term(store, fixture), fixture.cluster)
+
+    private fun TestScope.term(store: KeyValueStore, fixture: ClusterFixture) = testTerm(
+        store,
+        backgroundScope,
+        Clock { fixture.nowMicros },
+        StoreLimits(rps = 100.0, writeRps = 30.0, valueBytes = 8_192, txnOps = 5),
     )
 }
