--- a/src/main/kotlin/linemast/jobs/JobService.kt
+++ b/src/main/kotlin/linemast/jobs/JobService.kt
@@ -26,7 +26,8 @@
  * Serves the users' API on every controller: submissions, status queries and cancellations.
  *
  * Every response is based on a read from the store or a commit to the store after the request arrived. Only terminal
- * outcomes are cached without a time limit, because they never change. Outcomes of the jobs that a job depends on may be
+ * outcomes are cached without a time limit, because they never change. A response that tells of a cancellation waits until the
+ * cancellation is in effect. Outcomes of the jobs that a job depends on may be
  * older; see [DependencyCheck].
  */
 class JobService(
