Listener: no failed accept ends the controller, descriptors count until they are free

Cause: an exception of accept, or an IOException of one connection's coroutine, reached the scope of the controller. And a connection counted as gone once it was closed, while the JDK frees the descriptor of a registered channel only at the next select: as long as connections were queued, the listener accepted them without a select in between.

Change: a connection counts until a select after its end; an accepted connection waits for that. A failed accept is repeated each 0.1 s (Acceptor), logged once for each spell. An IOException of a connection ends that connection alone.

Outgoing connections were read, not run.

--- a/src/main/kotlin/linemast/transport/Listener.kt
+++ b/src/main/kotlin/linemast/transport/Listener.kt
@@ -1,12 +1,18 @@
 package linemast.transport
 
+import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import linemast.time.SteadyClock
+import org.slf4j.LoggerFactory
+import java.io.IOException
 
 /**
- * Accepts connections on one address, with one coroutine for each, at most [maxConnections] at a time.
+ * Accepts connections on one address, with one coroutine for each, at most [maxConnections] at a time. A connection counts until its
+ * file descriptor is free.
  *
  * @property closeIdleConnection called when a connection arrives while [maxConnections] are open. Closes one of the open
  * connections, or returns false if none can be closed; the new connection is then closed instead.
@@ -17,10 +23,14 @@
     private val maxConnections: Int,
     private val closeIdleConnection: () -> Boolean = { false },
 ) {
-    private var openConnections = 0
+    private val log = LoggerFactory.getLogger(Listener::class.java)
+
+    /** Number of connections whose file descriptors are in use: those of closed ones are freed by the next select. */
+    private var usedDescriptors = 0
 
     /**
-     * Accepts connections until [scope] is cancelled and runs [onConnection] for each.
+     * Accepts connections until [scope] is cancelled and runs [onConnection] for each. No failure to accept a connection, and no
+     * IOException of [onConnection], ends the listener.
      *
      * Calls [onListening] once the address is bound.
      */
@@ -32,23 +42,46 @@
         }
         onListening()
         listener.use {
+            val acceptor = Acceptor(address, SteadyClock, log, listener::accept)
             while (scope.isActive) {
-                val socket = listener.accept()
-                if (openConnections >= maxConnections && !closeIdleConnection()) {
+                val socket = acceptor.accept()
+                if (!makeRoom()) {
                     socket.close()
                     continue
                 }
-                openConnections++
-                scope.launch {
-                    try {
-                        Connection(socket, loop).use { onConnection(it) }
-                    } finally {
-                        openConnections--
-                    }
-                }
+                usedDescriptors++
+                scope.launch { serveConnection(scope, socket, onConnection) }
             }
         }
     }
+
+    /** Closes an idle connection if there are too many; returns false if that is not possible. */
+    private suspend fun makeRoom(): Boolean {
+        if (usedDescriptors < maxConnections) return true
+        if (!closeIdleConnection()) return false
+        while (usedDescriptors >= maxConnections) delay(SELECT_MILLIS)
+        return true
+    }
+
+    private suspend fun serveConnection(scope: CoroutineScope, socket: Socket, onConnection: suspend (Connection) -> Unit) {
+        try {
+            Connection(socket, loop).use { onConnection(it) }
+        } catch (e: IOException) {
+            log.debug("{}: connection ended with an error: {}", address, e.toString())
+        } finally {
+            scope.launch { releaseDescriptor() }
+        }
+    }
+
+    private suspend fun releaseDescriptor() {
+        delay(SELECT_MILLIS)
+        usedDescriptors--
+    }
+
+    private companion object {
+        /** A timer fires after a select of the event loop that began after the timer was set. */
+        const val SELECT_MILLIS = 1L
+    }
 }
 
 /** Opens a connection to [address]. */
