Tests and settings: logic that stood twice

Cause: DependencyCoordinatorTest wrote the same two records in three tests, and SettingsReader had a constant of its own beside the imported MICROS_PER_MILLI, which it hid.

Result: DependencyCoordinatorTest and SettingsReaderTest pass.

--- a/src/main/kotlin/linemast/settings/SettingsReader.kt
+++ b/src/main/kotlin/linemast/settings/SettingsReader.kt
@@ -12,7 +12,6 @@
 
     /** The minimum must hold one part of a stored set of completed tasks, which takes nearly 1.5 KiB. */
     private const val MIN_VALUE_KIB = 1.5
-    private const val MICROS_PER_MILLI = 1_000
 
     /** Reads and checks a settings file; throws a [SettingsException] if the file cannot be used. */
     fun read(path: Path): Settings = SettingsFile.read(path, ::parse)
--- a/src/test/kotlin/linemast/control/DependencyCoordinatorTest.kt
+++ b/src/test/kotlin/linemast/control/DependencyCoordinatorTest.kt
@@ -47,8 +47,7 @@
                 activated = false,
                 cancelled = false,
             )
-        client.commit(emptyList(), listOf(Write.Put("leader", emptyMap())))
-        client.commit(emptyList(), listOf(Write.Put(JobKeys.blocked("req-2"), JobRecordCodec.encode(blocked))))
+        writeBlocked(client, blocked)
         val fixture = ClusterFixture()
         val dependency = fixture.submit("req-1", 2)
         FakeWorker(fixture, "host-000001").heartbeatFor(3)
@@ -79,12 +78,10 @@
     /** The user cancels the job through another controller while the leader's release is in progress. */
     @Test
     fun `a job that is cancelled just before its release is applied stays cancelled`() = runTest {
-        val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
-        val store = SimStore(backgroundScope, clock, Random(2))
+        val store = SimStore(backgroundScope, Clock { testScheduler.currentTime * 1_000 + 1 }, Random(2))
         val client = store.clientOf("mast-0")
         val blocked = JobRecord(testSpec("req-2", "awaits" to listOf("req-1")), 0, activated = false, cancelled = false)
-        client.commit(emptyList(), listOf(Write.Put("leader", emptyMap())))
-        client.commit(emptyList(), listOf(Write.Put(JobKeys.blocked("req-2"), JobRecordCodec.encode(blocked))))
+        writeBlocked(client, blocked)
         val storeCancellingBeforeCommit = object : KeyValueStore by client {
             override suspend fun commit(preconditions: List<Precondition>, writes: List<Write>, priority: RequestPriority): CommitResult {
                 client.commit(emptyList(), listOf(Write.Delete(JobKeys.blocked("req-2"))))
@@ -103,12 +100,10 @@
     /** The response to the release comes so late that the released job has been cancelled, and its record deleted, by then. */
     @Test
     fun `a late response to a release does not bring a cancelled job back`() = runTest {
-        val clock = Clock { testScheduler.currentTime * 1_000 + 1 }
-        val store = SimStore(backgroundScope, clock, Random(3))
+        val store = SimStore(backgroundScope, Clock { testScheduler.currentTime * 1_000 + 1 }, Random(3))
         val client = store.clientOf("mast-0")
         val blocked = JobRecord(testSpec("req-2", "awaits" to listOf("req-1")), 0, activated = false, cancelled = false)
-        client.commit(emptyList(), listOf(Write.Put("leader", emptyMap())))
-        client.commit(emptyList(), listOf(Write.Put(JobKeys.blocked("req-2"), JobRecordCodec.encode(blocked))))
+        writeBlocked(client, blocked)
         val open = JobKeys.open("req-2")
         val storeRespondingLate = object : KeyValueStore by client {
             override suspend fun commit(preconditions: List<Precondition>, writes: List<Write>, priority: RequestPriority): CommitResult {
@@ -134,6 +129,12 @@
         assertEquals(emptySet<String>(), fixture.cluster.jobs.keys, "the leader would start the tasks of the cancelled job")
     }
 
+    /** Writes the record of a leader and that of a blocked job. */
+    private suspend fun writeBlocked(client: KeyValueStore, blocked: JobRecord) {
+        client.commit(emptyList(), listOf(Write.Put("leader", emptyMap())))
+        client.commit(emptyList(), listOf(Write.Put(JobKeys.blocked(blocked.spec.id), JobRecordCodec.encode(blocked))))
+    }
+
     private fun TestScope.coordinator(store: KeyValueStore, fixture: ClusterFixture) =
         DependencyCoordinator(term(store, fixture), fixture.cluster)
 
