Quarantines of machines end by themselves

Cause: one flag, `draining`, stood for quarantine, scale-in and preemption, and nothing cleared it. Two failed jobs set it; the next completed task cleared the failures, which were the reason to return the machine, and not the flag. So the machine got no starts and was not returned either.

Change: - `Machine.isDraining` is derived from reasons, each with an owner that ends it: the outcome of a scale-in, the preemption notice, the quarantine. - `MachineHealth` derives the quarantine from the recorded failures and the time, so the order of events does not matter. A failure does not count against the machine while its job has failed on three machines with none completed, or is cancelled. A completed task clears the failures before its start. A quarantine of 30 s, later 60 s, is followed by a trial of 20 s with one task at a time. - `ScaleInPolicy` returns a machine as faulty with its second quarantine in a row, a baseline machine with the fourth, and only once no task is on it. Before, it was returned at the first, with the tasks that ran there.

--- a/src/main/kotlin/linemast/autoscaling/JobPlanning.kt
+++ b/src/main/kotlin/linemast/autoscaling/JobPlanning.kt
@@ -31,7 +31,7 @@
      * that is up to date.
      */
     fun plan(jobs: List<Job>, isFull: Boolean, wallMicros: Long, nowMicros: Long) {
-        val baseline = cluster.machines.values.filter { it.isBaseline && !it.draining && nowMicros < it.leaseEndMicros }
+        val baseline = cluster.machines.values.filter { it.isBaseline && !it.isDraining && nowMicros < it.leaseEndMicros }
         // Blocked stages get the capacity that the other jobs leave, and are planned again when they are released.
         planner.removePlans(blockedIds)
         blockedStages = cluster.blockedStages.filter { it.job.id !in cluster.jobs }
--- a/src/main/kotlin/linemast/cloud/ScaleInPolicy.kt
+++ b/src/main/kotlin/linemast/cloud/ScaleInPolicy.kt
@@ -1,6 +1,7 @@
 package linemast.cloud
 
 import linemast.domain.Machine
+import linemast.domain.MachineHealth
 import linemast.settings.Policy
 import linemast.settings.WorkerSettings
 
@@ -49,7 +50,7 @@
         val noticeMicros = worker.preemptionNoticeMicros
         val missingMicros = if (isBaseline) BASELINE_MISSING_HEARTBEAT_MICROS else MISSING_HEARTBEAT_MICROS
         return when {
-            worker.failedJobs.size >= QUARANTINE_FAILED_JOBS && worker.draining -> ScaleInReason.QUARANTINED
+            isFaulty(worker, isBaseline) -> ScaleInReason.QUARANTINED
             noticeMicros != null && heartbeatAgeMicros >= noticeMicros - PREEMPTION_MARGIN_MICROS -> ScaleInReason.PREEMPTED
             machine.spot && heartbeatAgeMicros > maxHeartbeatAgeMicros && isReportingZone -> ScaleInReason.PREEMPTED_WITHOUT_NOTICE
             heartbeatAgeMicros > missingMicros && isReportingZone -> ScaleInReason.MISSING_HEARTBEAT
@@ -58,6 +59,13 @@
         }
     }
 
+    /** Whether [worker] is quarantined once more after its trials, and holds no task whose completion could show that it works. */
+    private fun isFaulty(worker: Machine, isBaseline: Boolean): Boolean {
+        val maxQuarantines = if (isBaseline) MAX_BASELINE_QUARANTINES else MAX_QUARANTINES
+        val isQuarantined = worker.health.state == MachineHealth.State.QUARANTINED
+        return isQuarantined && worker.health.quarantineCount > maxQuarantines && worker.placements.isEmpty()
+    }
+
     private fun isUnreachable(worker: Machine, nowMicros: Long): Boolean =
         worker.unacknowledgedSinceMicros > 0 && nowMicros - worker.unacknowledgedSinceMicros > MISSING_HEARTBEAT_MICROS
 
@@ -91,7 +99,10 @@
         /** Longer than for other machines, because baseline machines are hard to replace. */
         const val BASELINE_MISSING_HEARTBEAT_MICROS = 150_000_000L
 
-        /** A machine counts as faulty once this many different jobs have failed on it. */
-        const val QUARANTINE_FAILED_JOBS = 2
+        /** A machine counts as faulty if it is quarantined once more than this with no task completed in between. */
+        const val MAX_QUARANTINES = 1
+
+        /** More than for other machines, because baseline machines are hard to replace. */
+        const val MAX_BASELINE_QUARANTINES = 3
     }
 }
--- a/src/main/kotlin/linemast/cloud/ScaleInReason.kt
+++ b/src/main/kotlin/linemast/cloud/ScaleInReason.kt
@@ -8,7 +8,7 @@
     /** The worker has sent no heartbeat although several times the usual startup time of the machine has passed. */
     NEVER_STARTED("did not start"),
 
-    /** The machine is quarantined: tasks of several jobs have failed on it. */
+    /** The machine is faulty: tasks have failed on it also in the trials after its quarantines. */
     QUARANTINED("quarantined"),
 
     /** The time that the preemption notice gave the machine is over. */
--- a/src/main/kotlin/linemast/cloud/ScaleOutPlanner.kt
+++ b/src/main/kotlin/linemast/cloud/ScaleOutPlanner.kt
@@ -119,7 +119,7 @@
     private fun isUsable(machine: CloudMachine, worker: Machine?, nowMicros: Long): Boolean {
         if (inventory.isBaseline(machine.name) || machine.isScalingIn || machine.status == CloudMachine.FAILED) return false
         if (worker == null) return nowMicros - machine.createdMicros <= MAX_STARTUP_FACTOR * machine.type.startupMicros
-        return !worker.draining && worker.unacknowledgedSinceMicros <= 0
+        return !worker.isDraining && worker.unacknowledgedSinceMicros <= 0
     }
 
     /** Returns the shapes that fit [job] and are not in a back-off for lack of capacity, ordered by price per task, cheapest first. */
--- a/src/main/kotlin/linemast/control/CloudOperations.kt
+++ b/src/main/kotlin/linemast/control/CloudOperations.kt
@@ -72,7 +72,7 @@
         val names = batch.names
         for (name in names) {
             fleet.machines[name]?.isScalingIn = true
-            cluster.machines[name]?.draining = true
+            cluster.machines[name]?.isScalingIn = true
         }
         term.scope.launch {
             val isConfirmed = requestScaleIn(batch)
--- a/src/main/kotlin/linemast/control/UtilizationLog.kt
+++ b/src/main/kotlin/linemast/control/UtilizationLog.kt
@@ -43,16 +43,15 @@
             vcpusIn(Placement.Phase.SENT),
             machines.filter { it.placements.isEmpty() }.sumOf { it.type.vcpus }.toInt(),
         )
-        val draining = machines.filter { it.draining }
+        val draining = machines.filter { it.isDraining }
         if (draining.isEmpty()) return
         log.debug("usage: no starts are sent to {}", draining.map { "${it.name} (${it.placements.size} tasks, ${drainReason(it)})" })
     }
 
     private fun drainReason(machine: Machine): String = when {
-        fleet.machines[machine.name]?.isScalingIn == true -> "scaling in"
-        machine.preemptionNoticeMicros != null -> "preemption notice"
-        machine.failedJobs.isNotEmpty() -> "${machine.failedJobs.size} failed jobs"
-        else -> "no present reason"
+        machine.isScalingIn -> "scaling in"
+        machine.isPreempted -> "preemption notice"
+        else -> "quarantined"
     }
 
     private fun logJobs() {
--- a/src/main/kotlin/linemast/domain/Job.kt
+++ b/src/main/kotlin/linemast/domain/Job.kt
@@ -77,7 +77,7 @@
     val gangAttempt = GangAttempt()
 
     /** Failures of the job's tasks, and until when they delay its starts. */
-    val failureBackOff = FailureBackOff()
+    val failures = JobFailures()
 
     /** Run times of the job's completed tasks. */
     val runTimes = MeasuredRunTimes()
@@ -103,9 +103,6 @@
     /** Number of task attempts that the latest heartbeats have shown running. */
     val runningCount: Int get() = placements.count { it.isRunning }
 
-    /** Names of the machines where a task of the job has failed. */
-    val failedOn: MutableSet<String> get() = failureBackOff.failedOn
-
     /** See [TaskSet.nextPending]. */
     fun nextPending(from: Int): Int = tasks.nextPending(from)
 
--- a/src/main/kotlin/linemast/domain/Machine.kt
+++ b/src/main/kotlin/linemast/domain/Machine.kt
@@ -45,11 +45,14 @@
      */
     var isBaseline = false
 
-    /** Whether no further starts are sent to the machine: it is being scaled in, preempted by the cloud, or quarantined. */
-    var draining = false
+    /** Whether the machine's scale-in is decided and neither confirmed nor refused; it may take effect at any time. */
+    var isScalingIn = false
 
-    /** Ids of the jobs that have failed on this machine since a task was last completed here. */
-    val failedJobs = HashSet<String>()
+    /** Whether a heartbeat has announced that the cloud preempts the machine. */
+    var isPreempted = false
+
+    /** Whether the machine is fit to run tasks, as far as failures of tasks show it. */
+    val health = MachineHealth()
 
     /** Reservation of the free resources for a job while other tasks are preempted for that job; null if there is none. */
     var reservation: Reservation? = null
@@ -81,14 +84,23 @@
     /** The job that the free resources are reserved for; null if there is none. */
     val reservedFor: Job? get() = reservation?.job
 
+    /**
+     * Whether no further starts are sent to the machine. Each reason has one owner, which also ends it: [isScalingIn] the outcome of the
+     * scale-in, [isPreempted] the worker's heartbeats, and the quarantine the time ([MachineHealth]).
+     */
+    val isDraining: Boolean
+        get() = isScalingIn || isPreempted || health.state == MachineHealth.State.QUARANTINED
+
     /** Whether a heartbeat of the worker has arrived at this leader. */
     val hasReported: Boolean get() = heartbeats.lastMicros > HeartbeatSequence.NEVER
 
     /** Whether a task of [spec] may ever run on this machine, whatever resources are free. */
     fun allows(spec: JobSpec): Boolean = shape.allows(spec)
 
-    /** Whether one more task of [job] fits the free resources. */
-    fun fits(job: Job): Boolean = capacity.fits(job.spec)
+    /** Whether one more task of [job] fits the free resources. On trial the machine takes one task at a time, and none of a gang. */
+    fun fits(job: Job): Boolean = capacity.fits(job.spec) && (health.state != MachineHealth.State.ON_TRIAL || isFitForTrial(job))
+
+    private fun isFitForTrial(job: Job): Boolean = placements.isEmpty() && !job.spec.isGang
 
     /** Returns an upper bound of the number of tasks of [spec] that fit the free resources. */
     fun freeSlots(spec: JobSpec): Int = capacity.freeSlots(spec)
--- a/src/main/kotlin/linemast/scheduling/HeartbeatHandler.kt
+++ b/src/main/kotlin/linemast/scheduling/HeartbeatHandler.kt
@@ -47,7 +47,7 @@
     private fun recordPreemptionNotice(machine: Machine, heartbeat: Heartbeat) {
         if (heartbeat.preemptionNoticeMicros != null && machine.preemptionNoticeMicros == null) {
             log.info("{}: preempted by the cloud in {} s", machine.name, heartbeat.preemptionNoticeMicros / MICROS_PER_SECOND)
-            machine.draining = true
+            machine.isPreempted = true
         }
         machine.preemptionNoticeMicros = heartbeat.preemptionNoticeMicros
     }
--- a/src/main/kotlin/linemast/scheduling/JobReadiness.kt
+++ b/src/main/kotlin/linemast/scheduling/JobReadiness.kt
@@ -9,7 +9,7 @@
     fun isStartable(job: Job, nowMicros: Long): Boolean = job.activation == Job.Activation.ACTIVE &&
         !job.cancelled &&
         !job.finished &&
-        nowMicros >= job.failureBackOff.untilMicros &&
+        nowMicros >= job.failures.backOffUntilMicros &&
         cluster.failover.isReconciledFor(job)
 
     /**
@@ -19,14 +19,14 @@
     fun prepare(job: Job, nowMicros: Long): Boolean {
         if (job.activation == Job.Activation.INACTIVE) cluster.activate(job)
         // No other event would trigger a scheduling cycle once the back-off is over.
-        if (nowMicros < job.failureBackOff.untilMicros) cluster.needsScheduling = true
+        if (nowMicros < job.failures.backOffUntilMicros) cluster.needsScheduling = true
         if (isStartable(job, nowMicros)) return true
         pendingReasons.record(job, reasonNotReady(job, nowMicros))
         return false
     }
 
     private fun reasonNotReady(job: Job, nowMicros: Long): PendingReason = when {
-        nowMicros < job.failureBackOff.untilMicros -> PendingReason.BackOff(job.failureBackOff.failures)
+        nowMicros < job.failures.backOffUntilMicros -> PendingReason.BackOff(job.failures.count)
         !cluster.failover.isReconciledFor(job) -> PendingReason.UnconfirmedTasks
         else -> PendingReason.NotActivated
     }
--- a/src/main/kotlin/linemast/scheduling/KnownMachines.kt
+++ b/src/main/kotlin/linemast/scheduling/KnownMachines.kt
@@ -22,7 +22,7 @@
     /** Adds a machine whose first heartbeat has arrived. */
     fun add(machine: Machine) {
         machine.isBaseline = machine.name in baseline
-        machine.draining = machine.name in scalingIn
+        machine.isScalingIn = machine.name in scalingIn
         machines[machine.name] = machine
         cluster.needsScheduling = true
     }
@@ -33,7 +33,7 @@
     /** Marks machines that a previous leader has decided to scale in: they get no tasks any more. */
     fun markScalingIn(names: Collection<String>) {
         scalingIn += names
-        names.forEach { machines[it]?.draining = true }
+        names.forEach { machines[it]?.isScalingIn = true }
     }
 
     /** Sets which machines belong to the baseline fleet. */
@@ -71,7 +71,7 @@
         var known = 0
         var reporting = 0
         for (machine in machines.values) {
-            if (!machine.hasReported || machine.draining) continue
+            if (!machine.hasReported || machine.isDraining) continue
             known++
             if (nowMicros - machine.lastHeartbeatMicros < missingHeartbeatMicros) reporting++
         }
--- a/src/main/kotlin/linemast/scheduling/MachineReadiness.kt
+++ b/src/main/kotlin/linemast/scheduling/MachineReadiness.kt
@@ -11,7 +11,7 @@
         machine.lastHeartbeatMicros > 0 && nowMicros - machine.lastHeartbeatMicros < maxAgeMicros
 
     /** Whether tasks may be assigned to [machine]. */
-    fun isSchedulable(machine: Machine, nowMicros: Long): Boolean = !machine.draining &&
+    fun isSchedulable(machine: Machine, nowMicros: Long): Boolean = !machine.isDraining &&
         machine.isRegistered &&
         hasRecentHeartbeat(machine, nowMicros) &&
         machine.acknowledgesResponses &&
--- a/src/main/kotlin/linemast/scheduling/TaskCommands.kt
+++ b/src/main/kotlin/linemast/scheduling/TaskCommands.kt
@@ -70,7 +70,7 @@
     private fun mayStart(placement: Placement, nowMicros: Long): Boolean {
         val job = placement.job ?: return false
         if (job.cancelled || job.finished) return false
-        return !placement.machine.draining && placement.machine.isRegistered && cluster.isStartable(job, nowMicros)
+        return !placement.machine.isDraining && placement.machine.isRegistered && cluster.isStartable(job, nowMicros)
     }
 
     /**
--- a/src/main/kotlin/linemast/scheduling/TaskEndings.kt
+++ b/src/main/kotlin/linemast/scheduling/TaskEndings.kt
@@ -9,8 +9,8 @@
 import linemast.recovery.ReconciliationStatistics
 import org.slf4j.LoggerFactory
 
-/** Records the ends of tasks: counts completed ones, delays jobs whose tasks keep failing, and quarantines faulty machines. */
-internal class TaskEndings(private val cluster: Cluster) {
+/** Records the ends of tasks: counts completed ones, delays jobs whose tasks keep failing, and reports failures to [quarantines]. */
+internal class TaskEndings(private val cluster: Cluster, private val quarantines: MachineQuarantines) {
     private val log = LoggerFactory.getLogger(TaskEndings::class.java)
 
     /**
@@ -23,15 +23,15 @@
         if (job == null) cluster.stateReconciliation?.countUnknown(task.key)
         if (job == null || task.task.index >= job.spec.taskCount) return
         when (task.cause) {
-            EndCause.COMPLETED -> recordCompletion(machine, job, task, placement, nowMicros)
+            EndCause.COMPLETED -> recordCompletion(job, task, placement, nowMicros)
             EndCause.FAILED -> recordFailure(machine, job, nowMicros)
             else -> if (placement != null) log.debug("{}: ended on {}: {}", task.task, machine.name, task.cause)
         }
     }
 
-    private fun recordCompletion(machine: Machine, job: Job, task: TaskStatus, placement: Placement?, nowMicros: Long) {
-        machine.failedJobs.clear()
-        job.failureBackOff.recordSuccess()
+    private fun recordCompletion(job: Job, task: TaskStatus, placement: Placement?, nowMicros: Long) {
+        job.failures.recordSuccess()
+        if (placement != null) quarantines.recordCompletion(placement, nowMicros)
         if (placement != null) measureRunTime(job, placement, nowMicros)
         if (job.finished || job.cancelled) return
         // A gang completes as a whole: the completion of one of its tasks is the completion of all.
@@ -53,21 +53,11 @@
 
     private fun recordFailure(machine: Machine, job: Job, nowMicros: Long) {
         // A failure is reported in each heartbeat until the end of the task is acknowledged, but counts only once.
-        if (!job.failedOn.add(machine.name) && !machine.failedJobs.add(job.id)) return
-        machine.failedJobs += job.id
-        job.failureBackOff.recordFailure(nowMicros)
-        log.debug("{}: a task failed on {}, {} failures since the last completed task", job.id, machine.name, job.failureBackOff.failures)
-        if (machine.failedJobs.size >= FAILED_JOBS_BEFORE_QUARANTINE && !machine.draining) quarantine(machine)
+        val isNewForJob = job.failures.recordFailure(machine.name)
+        val isNewForMachine = quarantines.recordFailure(machine, job, nowMicros)
+        if (!isNewForJob && !isNewForMachine) return
+        job.failures.delayStarts(nowMicros)
+        log.debug("{}: a task failed on {}, {} failures since the last completed task", job.id, machine.name, job.failures.count)
         cluster.needsScheduling = true
     }
-
-    /** Quarantines [machine]: a machine on which tasks of several jobs fail and none completes is considered faulty. */
-    private fun quarantine(machine: Machine) {
-        log.info("{}: {} jobs failed here with none completed, quarantined", machine.name, machine.failedJobs.size)
-        machine.draining = true
-    }
-
-    private companion object {
-        const val FAILED_JOBS_BEFORE_QUARANTINE = 2
-    }
 }
--- a/src/test/kotlin/linemast/scheduling/CandidateMachinesTest.kt
+++ b/src/test/kotlin/linemast/scheduling/CandidateMachinesTest.kt
@@ -58,7 +58,8 @@
     private fun nextHeartbeatOrder(machine: Machine) = machine.name.hashCode() and 3
 
     private fun exhaustiveSearch(job: Job, machines: List<Machine>, scarceTypes: ScarceTypes): List<Machine> = machines
-        .filter { (it.reservedFor == null || it.reservedFor === job) && it.allows(job.spec) && it.fits(job) && it.name !in job.failedOn }
+        .filter { (it.reservedFor == null || it.reservedFor === job) && it.allows(job.spec) && it.fits(job) }
+        .filter { it.name !in job.failures.failedOn }
         .sortedWith(
             compareBy(
                 { it.reservedFor !== job },
@@ -88,7 +89,7 @@
             if (machine.fits(job)) machine.add(Placement(machine, TaskId("req-99", at), 1, job))
         }
         if (random.nextInt(6) == 0) machine.reservation = Reservation(jobs.random(random), untilMicros = 0)
-        if (random.nextInt(8) == 0) jobs.random(random).failedOn += machine.name
+        if (random.nextInt(8) == 0) jobs.random(random).failures.failedOn += machine.name
         return machine
     }
 
--- a/src/test/kotlin/linemast/scheduling/ClusterFixture.kt
+++ b/src/test/kotlin/linemast/scheduling/ClusterFixture.kt
@@ -102,25 +102,19 @@
     var fencingToken = 0L
     val tasks = LinkedHashMap<Pair<TaskId, Long>, TaskState>()
 
+    /** The cause of each ended task that did not complete. */
+    val endCauses = HashMap<Pair<TaskId, Long>, EndCause>()
+
+    var preemptionNoticeMicros: Long? = null
+
     fun nextHeartbeat(): Heartbeat = Heartbeat(
-        name, "", ClusterFixture.TYPE.name, "z", false, incarnation, ++sequenceNumber, fencingToken, null,
-        tasks.map { (key, status) ->
-            TaskStatus(
-                key.first,
-                key.second,
-                status,
-                if (status ==
-                    TaskState.ENDED
-                ) {
-                    EndCause.COMPLETED
-                } else {
-                    null
-                },
-                false,
-            )
-        },
+        name, "", ClusterFixture.TYPE.name, "z", false, incarnation, ++sequenceNumber, fencingToken, preemptionNoticeMicros,
+        tasks.map { (key, state) -> TaskStatus(key.first, key.second, state, causeOf(key, state), false) },
     )
 
+    private fun causeOf(key: Pair<TaskId, Long>, state: TaskState): EndCause? =
+        if (state == TaskState.ENDED) endCauses[key] ?: EndCause.COMPLETED else null
+
     fun heartbeat(responseReceived: Boolean = true): List<Command> {
         val commands = fixture.heartbeat(nextHeartbeat())
         if (!responseReceived) return commands
--- a/src/test/kotlin/linemast/size/FleetScenario.kt
+++ b/src/test/kotlin/linemast/size/FleetScenario.kt
@@ -196,7 +196,7 @@
             val names = actions.scaleIns.names
             names.forEach {
                 fleet.machines[it]?.isScalingIn = true
-                cluster.machines[it]?.draining = true
+                cluster.machines[it]?.isScalingIn = true
             }
             schedule(120_000) {
                 names.forEach(::removeWorker)
