A machine gets starts again once its preemption notice is no longer reported

Cause: the notice set the flag `draining`, and a heartbeat without a notice cleared the notice and not the flag.

Change: the preemption notice of the latest heartbeat is itself the reason to send no starts.

--- a/src/main/kotlin/linemast/control/UtilizationLog.kt
+++ b/src/main/kotlin/linemast/control/UtilizationLog.kt
@@ -50,7 +50,7 @@
 
     private fun drainReason(machine: Machine): String = when {
         machine.isScalingIn -> "scaling in"
-        machine.isPreempted -> "preemption notice"
+        machine.preemptionNoticeMicros != null -> "preemption notice"
         else -> "quarantined"
     }
 
--- a/src/main/kotlin/linemast/domain/Machine.kt
+++ b/src/main/kotlin/linemast/domain/Machine.kt
@@ -48,9 +48,6 @@
     /** Whether the machine's scale-in is decided and neither confirmed nor refused; it may take effect at any time. */
     var isScalingIn = false
 
-    /** Whether a heartbeat has announced that the cloud preempts the machine. */
-    var isPreempted = false
-
     /** Whether the machine is fit to run tasks, as far as failures of tasks show it. */
     val health = MachineHealth()
 
@@ -86,10 +83,10 @@
 
     /**
      * Whether no further starts are sent to the machine. Each reason has one owner, which also ends it: [isScalingIn] the outcome of the
-     * scale-in, [isPreempted] the worker's heartbeats, and the quarantine the time ([MachineHealth]).
+     * scale-in, [preemptionNoticeMicros] the worker's heartbeats, and the quarantine the time ([MachineHealth]).
      */
     val isDraining: Boolean
-        get() = isScalingIn || isPreempted || health.state == MachineHealth.State.QUARANTINED
+        get() = isScalingIn || preemptionNoticeMicros != null || health.state == MachineHealth.State.QUARANTINED
 
     /** Whether a heartbeat of the worker has arrived at this leader. */
     val hasReported: Boolean get() = heartbeats.lastMicros > HeartbeatSequence.NEVER
--- a/src/main/kotlin/linemast/scheduling/HeartbeatHandler.kt
+++ b/src/main/kotlin/linemast/scheduling/HeartbeatHandler.kt
@@ -47,7 +47,10 @@
     private fun recordPreemptionNotice(machine: Machine, heartbeat: Heartbeat) {
         if (heartbeat.preemptionNoticeMicros != null && machine.preemptionNoticeMicros == null) {
             log.info("{}: preempted by the cloud in {} s", machine.name, heartbeat.preemptionNoticeMicros / MICROS_PER_SECOND)
-            machine.isPreempted = true
+        }
+        if (heartbeat.preemptionNoticeMicros == null && machine.preemptionNoticeMicros != null) {
+            log.info("{}: its preemption notice is no longer reported", machine.name)
+            cluster.needsScheduling = true
         }
         machine.preemptionNoticeMicros = heartbeat.preemptionNoticeMicros
     }
