A machine gets starts again once its scale-in is refused

Cause: a scale-in closed the machine before the call. If the call failed, only the fleet's mark was cleared and not the cluster's. The machine stayed closed, and was scaled in only if the policy chose it again: not while pending tasks could use it.

Change: - A scale-in that was not sent (all intent slots taken) or was rejected by the cloud opens the machine, unless a scale-in of an earlier leader is pending too. - A call without a response may be carried out late, so it is repeated until the cloud confirms it, and the machine stays closed.

--- a/src/main/kotlin/linemast/cloud/CloudActionExecutor.kt
+++ b/src/main/kotlin/linemast/cloud/CloudActionExecutor.kt
@@ -16,7 +16,9 @@
 class DirectCloudActionExecutor(private val cloud: Cloud) : CloudActionExecutor {
     override suspend fun scaleOut(request: ScaleOutRequest): ScaleOutResult = cloud.scaleOut(request)
 
-    override fun split(batch: ScaleInBatch): List<ScaleInBatch> = listOf(batch)
+    override fun split(batch: ScaleInBatch): List<ScaleInBatch> = batch.reasons.entries
+        .chunked(MAX_MACHINES_PER_SCALE_IN_CALL)
+        .map { machines -> ScaleInBatch(machines.associate { it.key to it.value }) }
 
     override suspend fun scaleIn(batch: ScaleInBatch) = cloud.scaleIn(batch.names)
 }
--- a/src/main/kotlin/linemast/control/CloudOperations.kt
+++ b/src/main/kotlin/linemast/control/CloudOperations.kt
@@ -70,24 +70,44 @@
 
     private fun scaleIn(batch: ScaleInBatch) {
         val names = batch.names
-        for (name in names) {
-            fleet.machines[name]?.isScalingIn = true
-            cluster.machines[name]?.isScalingIn = true
-        }
+        cluster.markScalingIn(names)
+        names.forEach { fleet.machines[it]?.isScalingIn = true }
         term.scope.launch {
-            val isConfirmed = requestScaleIn(batch)
-            term.eventLoop.enqueue {
-                if (isConfirmed) recordScaleInConfirmed(names) else names.forEach { fleet.machines[it]?.isScalingIn = false }
+            val isConfirmed = scaleInUntilCertain(batch)
+            term.eventLoop.enqueue { if (isConfirmed) recordScaleInConfirmed(names) else recordScaleInRefused(names) }
+        }
+    }
+
+    /**
+     * Requests the scale-in of [batch] until its outcome is certain; returns whether the cloud has confirmed it. After a call without a
+     * response, the scale-in may still take effect at any time: then it is repeated until it is confirmed.
+     */
+    private suspend fun scaleInUntilCertain(batch: ScaleInBatch): Boolean {
+        var mayTakeEffect = false
+        while (true) {
+            when (requestScaleIn(batch)) {
+                ScaleInOutcome.CONFIRMED -> return true
+                ScaleInOutcome.REFUSED -> if (!mayTakeEffect) return false
+                ScaleInOutcome.UNKNOWN -> mayTakeEffect = true
             }
+            do delay(RETRY_MILLIS) while (!term.lease.mayIssueCommands(term.clock.nowMicros()))
         }
     }
 
-    private suspend fun requestScaleIn(batch: ScaleInBatch): Boolean = try {
+    private suspend fun requestScaleIn(batch: ScaleInBatch): ScaleInOutcome = try {
         executor.scaleIn(batch)
-        true
+        ScaleInOutcome.CONFIRMED
     } catch (e: CloudException) {
         log.info("scale-in of {}: failed, the machines may be scaled in again: {}", batch.names, e.message)
-        false
+        when (e) {
+            is CloudException.ErrorStatus, is CloudException.NotPermitted -> ScaleInOutcome.REFUSED
+            is CloudException.NoResponse, is CloudException.MalformedResponse -> ScaleInOutcome.UNKNOWN
+        }
+    }
+
+    private fun recordScaleInRefused(names: List<String>) {
+        cluster.recordScaleInRefused(names)
+        names.forEach { fleet.machines[it]?.isScalingIn = cluster.isScalingIn(it) }
     }
 
     /** Removes the machines [names] from the leader's state and the registry: the cloud has confirmed their scale-in. */
@@ -97,6 +117,17 @@
         machineRegistryStore.unregister(names)
     }
 
+    private enum class ScaleInOutcome {
+        /** The machines no longer exist. */
+        CONFIRMED,
+
+        /** The call has not been made or was rejected: it has no effect. */
+        REFUSED,
+
+        /** The call got no response. */
+        UNKNOWN,
+    }
+
     private companion object {
         const val RETRY_MILLIS = 1_000L
         const val MAX_SCALE_OUT_ATTEMPTS = 5
--- a/src/main/kotlin/linemast/scheduling/Cluster.kt
+++ b/src/main/kotlin/linemast/scheduling/Cluster.kt
@@ -283,6 +283,12 @@
     /** See [KnownMachines.markScalingIn]. */
     fun markScalingIn(names: Collection<String>) = knownMachines.markScalingIn(names)
 
+    /** See [KnownMachines.recordScaleInRefused]. */
+    fun recordScaleInRefused(names: Collection<String>) = knownMachines.recordScaleInRefused(names)
+
+    /** See [KnownMachines.isScalingIn]. */
+    fun isScalingIn(machineName: String): Boolean = knownMachines.isScalingIn(machineName)
+
     /** See [KnownMachines.markTerminated]. */
     fun markTerminated(names: Collection<String>) = knownMachines.markTerminated(names)
 
--- a/src/main/kotlin/linemast/scheduling/KnownMachines.kt
+++ b/src/main/kotlin/linemast/scheduling/KnownMachines.kt
@@ -16,13 +16,13 @@
     /** Names of machines whose termination the cloud has confirmed; the cloud never reuses a name. */
     private val terminated = LinkedHashSet<String>()
 
-    /** Names of machines that may be scaled in at any moment and therefore get no tasks. */
-    private val scalingIn = HashSet<String>()
+    /** Number of pending scale-ins by machine name. These machines may be removed at any moment and therefore get no tasks. */
+    private val pendingScaleIns = HashMap<String, Int>()
 
     /** Adds a machine whose first heartbeat has arrived. */
     fun add(machine: Machine) {
         machine.isBaseline = machine.name in baseline
-        machine.isScalingIn = machine.name in scalingIn
+        machine.isScalingIn = isScalingIn(machine.name)
         machines[machine.name] = machine
         cluster.needsScheduling = true
     }
@@ -30,10 +30,24 @@
     /** Whether the cloud has confirmed the termination of the machine. */
     fun isTerminated(machineName: String): Boolean = machineName in terminated
 
-    /** Marks machines that a previous leader has decided to scale in: they get no tasks any more. */
+    /** Whether a scale-in of the machine is decided and neither confirmed nor refused. */
+    fun isScalingIn(machineName: String): Boolean = machineName in pendingScaleIns
+
+    /** Marks machines whose scale-in this leader or a previous one has decided: they get no tasks any more. */
     fun markScalingIn(names: Collection<String>) {
-        scalingIn += names
-        names.forEach { machines[it]?.isScalingIn = true }
+        for (name in names) {
+            pendingScaleIns.merge(name, 1, Int::plus)
+            machines[name]?.isScalingIn = true
+        }
+    }
+
+    /** Records that a scale-in of the machines is refused and will not take effect: unless another one is pending, they get tasks again. */
+    fun recordScaleInRefused(names: Collection<String>) {
+        for (name in names) {
+            pendingScaleIns.computeIfPresent(name) { _, count -> (count - 1).takeIf { it > 0 } }
+            machines[name]?.isScalingIn = isScalingIn(name)
+        }
+        cluster.needsScheduling = true
     }
 
     /** Sets which machines belong to the baseline fleet. */
@@ -46,7 +60,7 @@
     fun markTerminated(names: Collection<String>) {
         for (name in names) {
             terminated += name
-            scalingIn -= name
+            pendingScaleIns -= name
             val machine = machines.remove(name) ?: continue
             machine.placements.values.toList().forEach(cluster::remove)
         }
