Simulations check that no machine stays closed; generated failures of tasks

Change: - Each simulation now checks twice a second, also while faults are injected, that no leader keeps a machine without tasks closed to starts for over 90 s for the same reason. - TaskFailureSimulationTest: mistaken jobs, single machines and all machines sick for seconds or minutes, machines that are faulty for good, scale-ins that are late or lose their response, and changes of the leader, in virtual time, with and without single-holder duties. More seeds by hand: -Dlinemast.failureSeeds=1-200. - `Machine.drainReason` names the reason; the usage lines of the log show it.

--- a/src/main/kotlin/linemast/app/ControllerNode.kt
+++ b/src/main/kotlin/linemast/app/ControllerNode.kt
@@ -9,6 +9,7 @@
 import linemast.cloud.Cloud
 import linemast.control.ControllerConfiguration
 import linemast.control.LeaderEnvironment
+import linemast.domain.DrainReason
 import linemast.jobs.JobService
 import linemast.jobs.JobServiceSettings
 import linemast.leadership.CancellationBarrier
@@ -69,6 +70,9 @@
     /** The plan by which this controller admits submissions; null if fair admission is not enabled. */
     val admissionPlan: AdmissionPlan? get() = admissionController?.plan
 
+    /** The machines that get no starts, by name, with the reason; null while this controller does not lead. */
+    val drainingMachines: Map<String, DrainReason>? get() = leaderLifecycle.leader?.drainingMachines()
+
     /** Starts the long-running coroutines of the controller in [scope]. */
     fun start() {
         scope.launch { machineTypes.load() }
--- a/src/main/kotlin/linemast/control/Leader.kt
+++ b/src/main/kotlin/linemast/control/Leader.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import linemast.domain.DrainReason
 import linemast.domain.Heartbeat
 import linemast.domain.JobProgress
 import linemast.leadership.LeaderLease
@@ -61,6 +62,9 @@
     /** Returns the task counts of all jobs by job id. */
     fun progress(): Map<String, JobProgress> = components.jobStatistics.progress()
 
+    /** Returns the machines that get no starts, by name, with the reason. */
+    fun drainingMachines(): Map<String, DrainReason> = components.cluster.drainingMachines()
+
     /** Loads the state, then leads until the coroutine is cancelled. */
     suspend fun run() {
         val revisions = components.stateLoader.load()
--- a/src/main/kotlin/linemast/control/UtilizationLog.kt
+++ b/src/main/kotlin/linemast/control/UtilizationLog.kt
@@ -45,13 +45,7 @@
         )
         val draining = machines.filter { it.isDraining }
         if (draining.isEmpty()) return
-        log.debug("usage: no starts are sent to {}", draining.map { "${it.name} (${it.placements.size} tasks, ${drainReason(it)})" })
-    }
-
-    private fun drainReason(machine: Machine): String = when {
-        machine.isScalingIn -> "scaling in"
-        machine.preemptionNoticeMicros != null -> "preemption notice"
-        else -> "quarantined"
+        log.debug("usage: no starts are sent to {}", draining.map { "${it.name} (${it.placements.size} tasks, ${it.drainReason})" })
     }
 
     private fun logJobs() {
--- a/src/main/kotlin/linemast/domain/Machine.kt
+++ b/src/main/kotlin/linemast/domain/Machine.kt
@@ -82,11 +82,19 @@
     val reservedFor: Job? get() = reservation?.job
 
     /**
-     * Whether no further starts are sent to the machine. Each reason has one owner, which also ends it: [isScalingIn] the outcome of the
-     * scale-in, [preemptionNoticeMicros] the worker's heartbeats, and the quarantine the time ([MachineHealth]).
+     * Why no starts are sent to the machine; null if they are. Each reason has one owner, which also ends it: [isScalingIn] the outcome
+     * of the scale-in, [preemptionNoticeMicros] the worker's heartbeats, and the quarantine the time ([MachineHealth]).
      */
-    val isDraining: Boolean
-        get() = isScalingIn || preemptionNoticeMicros != null || health.state == MachineHealth.State.QUARANTINED
+    val drainReason: DrainReason?
+        get() = when {
+            isScalingIn -> DrainReason.SCALING_IN
+            preemptionNoticeMicros != null -> DrainReason.PREEMPTION_NOTICE
+            health.state == MachineHealth.State.QUARANTINED -> DrainReason.QUARANTINED
+            else -> null
+        }
+
+    /** Whether no starts are sent to the machine. */
+    val isDraining: Boolean get() = drainReason != null
 
     /** Whether a heartbeat of the worker has arrived at this leader. */
     val hasReported: Boolean get() = heartbeats.lastMicros > HeartbeatSequence.NEVER
--- a/src/main/kotlin/linemast/scheduling/Cluster.kt
+++ b/src/main/kotlin/linemast/scheduling/Cluster.kt
@@ -1,6 +1,7 @@
 package linemast.scheduling
 
 import linemast.domain.Command
+import linemast.domain.DrainReason
 import linemast.domain.Heartbeat
 import linemast.domain.Job
 import linemast.domain.JobRecord
@@ -289,6 +290,9 @@
     /** See [KnownMachines.isScalingIn]. */
     fun isScalingIn(machineName: String): Boolean = knownMachines.isScalingIn(machineName)
 
+    /** See [KnownMachines.drainingMachines]. */
+    fun drainingMachines(): Map<String, DrainReason> = knownMachines.drainingMachines()
+
     /** See [KnownMachines.markTerminated]. */
     fun markTerminated(names: Collection<String>) = knownMachines.markTerminated(names)
 
--- a/src/main/kotlin/linemast/scheduling/KnownMachines.kt
+++ b/src/main/kotlin/linemast/scheduling/KnownMachines.kt
@@ -1,5 +1,6 @@
 package linemast.scheduling
 
+import linemast.domain.DrainReason
 import linemast.domain.Machine
 
 /**
@@ -50,6 +51,10 @@
         cluster.needsScheduling = true
     }
 
+    /** Returns the machines that get no starts, by name, with the reason. */
+    fun drainingMachines(): Map<String, DrainReason> =
+        machines.values.mapNotNull { machine -> machine.drainReason?.let { machine.name to it } }.toMap()
+
     /** Sets which machines belong to the baseline fleet. */
     fun markBaseline(names: Set<String>) {
         baseline = names
--- a/src/test/kotlin/linemast/simulation/InvariantChecks.kt
+++ b/src/test/kotlin/linemast/simulation/InvariantChecks.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import linemast.domain.DrainReason
 import linemast.serialization.Cbor
 import linemast.serialization.Fields
 import linemast.settings.Settings
@@ -26,6 +27,11 @@
     /** Since when a pending job could start without interruption, counted from [faultFreeSinceMicros] at the earliest. */
     private val startableSinceMicros = HashMap<String, Long>()
 
+    private data class ClosedMachine(val controller: Int, val name: String, val reason: DrainReason)
+
+    /** Since when a controller that leads has sent no starts to a machine without tasks, for the same reason without interruption. */
+    private val closedSinceMicros = HashMap<ClosedMachine, Long>()
+
     /** Starts the periodic checks. */
     fun start() {
         world.scope.launch {
@@ -33,6 +39,7 @@
                 delay(CHECK_INTERVAL_MILLIS)
                 checkCancelledJobsStop()
                 checkNoStarvation()
+                checkMachinesAreOpenedOrRemoved()
             }
         }
     }
@@ -164,6 +171,25 @@
         }
     }
 
+    /** Also checked while faults are injected: each reason to close a machine ends by itself within one leader's term. */
+    private fun checkMachinesAreOpenedOrRemoved() {
+        val now = clock.nowMicros()
+        val closed = (0 until CONTROLLER_COUNT).flatMap { controller ->
+            val machines = world.drainingMachinesOf(controller).orEmpty().filterKeys(::isWithoutTasks)
+            machines.map { (name, reason) -> ClosedMachine(controller, name, reason) }
+        }
+        closedSinceMicros.keys.retainAll(closed.toSet())
+        for (machine in closed) {
+            val since = closedSinceMicros.getOrPut(machine) { now }
+            if (now - since <= MAX_WAIT_MICROS) continue
+            val detail = "closed for ${(now - since) / 1_000} ms: ${machine.reason}"
+            recordViolation(Invariant.MACHINE_IS_OPENED_OR_REMOVED, machine.name, detail)
+            closedSinceMicros[machine] = now
+        }
+    }
+
+    private fun isWithoutTasks(machine: String): Boolean = world.workers[machine]?.tasks.isNullOrEmpty()
+
     private fun isPending(job: SimJob) =
         job.accepted && job.acknowledgedStatus == null && job.dependencies.all { world.isCompleted(jobs.getValue(it)) }
 
@@ -198,7 +224,7 @@
         const val HEARTBEAT_PATH = "/agent/beat"
         const val CHECK_INTERVAL_MILLIS = 500L
 
-        /** How long a job may stay pending although it could start. */
+        /** How long a job may stay pending although it could start, and a machine may be closed that could run it. */
         const val MAX_WAIT_MICROS = 90_000_000L
         const val ROUNDING_TOLERANCE = 1e-6
     }
--- a/src/test/kotlin/linemast/simulation/SimJob.kt
+++ b/src/test/kotlin/linemast/simulation/SimJob.kt
@@ -21,6 +21,9 @@
     /** Returns the run time of the task with the given [index]. */
     fun runMicrosOf(index: Int) = runMicros + index * staggerMicros
 
+    /** Whether the job was submitted with a mistake: its tasks fail on every machine. */
+    var isMistaken = false
+
     var accepted = false
     var submittedMicros = 0L
     var acceptedMicros = 0L
--- a/src/test/kotlin/linemast/simulation/SimWorker.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorker.kt
@@ -114,7 +114,7 @@
                 heartbeatDue = true
                 when {
                     "${task.job}/${task.index}" in world.completedTasks -> end(task, "done")
-                    failsTasks -> end(task, "error")
+                    failsTasks || job.isMistaken -> end(task, "error")
                     job.gang -> task.status = "gathering"
                     else -> run(task, now, job.runMicrosOf(task.index))
                 }
--- a/src/test/kotlin/linemast/simulation/SimWorld.kt
+++ b/src/test/kotlin/linemast/simulation/SimWorld.kt
@@ -9,6 +9,7 @@
 import linemast.admission.AdmissionPlan
 import linemast.app.ControllerNode
 import linemast.control.ControllerConfiguration
+import linemast.domain.DrainReason
 import linemast.domain.MachineType
 import linemast.peers.PeerMessage
 import linemast.serialization.MalformedException
@@ -213,6 +214,9 @@
     /** Called with the tasks, ended ones included, that a worker removes when its lease expires. */
     var onLeaseExpiry: (tasks: List<String>) -> Unit = {}
 
+    /** Returns the machines that get no starts by [controller], with the reason; null if it does not lead. */
+    fun drainingMachinesOf(controller: Int): Map<String, DrainReason>? = nodes[controller]?.drainingMachines
+
     /** Returns the admission plan of [controller]; null if it does not run or has no plan. */
     fun admissionPlanOf(controller: Int): AdmissionPlan? = nodes[controller]?.admissionPlan
 }
--- /dev/null
+++ b/src/test/kotlin/linemast/simulation/TaskFailureSimulationTest.kt
@@ -0,0 +1,62 @@
+package linemast.simulation
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import linemast.settings.DutySettings
+import linemast.settings.Features
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import java.util.stream.IntStream
+
+/**
+ * Guards against jobs that are left waiting after tasks have failed: mistaken jobs, sick machines, late and lost scale-ins, and changes
+ * of the leader, in virtual time.
+ */
+class TaskFailureSimulationTest {
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `no job is left waiting once mistaken jobs are cancelled and sick machines work again`(seed: Int) =
+        assertNoJobIsLeftWaiting(seed, Features())
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `no job is left waiting if the scale-ins of earlier leaders are carried out by later ones`(seed: Int) =
+        assertNoJobIsLeftWaiting(seed, Features(DutySettings()))
+
+    private fun assertNoJobIsLeftWaiting(seed: Int, features: Features) {
+        val world = simulate(seed, features = features) { world ->
+            backgroundScope.launch { submitGeneratedJobs(world) }
+            injectGeneratedFailures(world)
+            submitLateJobs(world)
+            delay(FAULT_FREE_MILLIS)
+        }
+        println("seed $seed: ${world.startCount} starts, ${world.completedTasks.size} tasks done, ${world.jobs.size} jobs")
+        assertEquals(emptyList<Violation>(), world.violations)
+        assertEquals(emptyList<String>(), world.jobs.values.filter { it.acknowledgedStatus == null }.map { it.id })
+    }
+
+    /** Submits jobs that need no more than the machines that are left. */
+    private fun TestScope.submitLateJobs(world: SimWorld) {
+        backgroundScope.launch {
+            repeat(LATE_JOBS) { number ->
+                val team = if (number % 2 == 0) "north" else "south"
+                world.users.submit(arrayJob("req-95%04d".format(number), 3_000_000, taskCount = 3, team = team), null)
+                delay(world.random.nextLong(1_000, 10_000))
+            }
+        }
+    }
+
+    companion object {
+        /** Returns the seeds of generated failures; `-Dlinemast.failureSeeds=1-200` selects others. */
+        @JvmStatic
+        fun seeds(): IntStream {
+            val (first, last) = System.getProperty("linemast.failureSeeds", "1-10").split('-').map { it.toInt() }
+            return IntStream.rangeClosed(first, last)
+        }
+
+        private const val LATE_JOBS = 8
+        private const val FAULT_FREE_MILLIS = 240_000L
+    }
+}
--- a/src/test/kotlin/linemast/simulation/Violation.kt
+++ b/src/test/kotlin/linemast/simulation/Violation.kt
@@ -38,11 +38,17 @@
     /** A job with the status `done` has completed all its tasks. */
     DONE_JOB_HAS_COMPLETED_TASKS("not_done"),
 
+    /** No machine without tasks is closed to starts for long: something opens it or removes it. */
+    MACHINE_IS_OPENED_OR_REMOVED("stays_closed"),
+
     /** No job stays pending for long while it could start. */
     NO_STARVATION("starved"),
 }
 
-/** A violation of [invariant] by [job] at [micros] of the simulation's clock; [detail] says how the rule is violated. */
+/**
+ * A violation of [invariant] by [job], or by the machine of that name, at [micros] of the simulation's clock; [detail] says how the rule
+ * is violated.
+ */
 data class Violation(val invariant: Invariant, val job: String, val micros: Long, val detail: String) {
     override fun toString() = "${micros / 1_000} ms: ${invariant.title}: $job $detail"
 }
