--- a/src/main/kotlin/linemast/control/CloudOperations.kt
+++ b/src/main/kotlin/linemast/control/CloudOperations.kt
@@ -87,7 +87,8 @@
         while (true) {
             when (requestScaleIn(batch)) {
                 ScaleInOutcome.CONFIRMED -> return true
-                ScaleInOutcome.REFUSED -> if (!mayTakeEffect) return false
+                // After the end of the term the next leader decides about the machines.
+                ScaleInOutcome.REFUSED -> if (!mayTakeEffect && !term.lease.hasEnded) return false
                 ScaleInOutcome.UNKNOWN -> mayTakeEffect = true
             }
             do delay(RETRY_MILLIS) while (!term.lease.mayIssueCommands(term.clock.nowMicros()))
