A job is started again on a machine where one of its tasks failed

Cause: `failedOn` was never cleared. Besides, a job's back-off of up to 120 s went on after the machines had recovered.

Evidence: the log says `no feasible machine` beside idle machines.

Change (`JobFailures`, `FailureTracker`): an exclusion ends after 60 s, or when a task that was started on the machine later completes; the back-off lasts 60 s at most, since a sound job may not wait 90 s. To keep mistaken jobs and faulty machines cheap, a suspected job is started with one task at a time, and a second failure of the same job counts against the machine like one of another job. A machine is returned as faulty only if more than one job has failed there.

--- a/src/main/kotlin/linemast/cloud/ScaleInPolicy.kt
+++ b/src/main/kotlin/linemast/cloud/ScaleInPolicy.kt
@@ -59,11 +59,15 @@
         }
     }
 
-    /** Whether [worker] is quarantined once more after its trials, and holds no task whose completion could show that it works. */
+    /**
+     * Whether [worker] is quarantined once more after its trials, because of more than one job, and holds no task whose completion could
+     * show that it works.
+     */
     private fun isFaulty(worker: Machine, isBaseline: Boolean): Boolean {
         val maxQuarantines = if (isBaseline) MAX_BASELINE_QUARANTINES else MAX_QUARANTINES
         val isQuarantined = worker.health.state == MachineHealth.State.QUARANTINED
-        return isQuarantined && worker.health.quarantineCount > maxQuarantines && worker.placements.isEmpty()
+        val isFailingRepeatedly = worker.health.quarantineCount > maxQuarantines && worker.health.failedJobCount > 1
+        return isQuarantined && isFailingRepeatedly && worker.placements.isEmpty()
     }
 
     private fun isUnreachable(worker: Machine, nowMicros: Long): Boolean =
--- a/src/main/kotlin/linemast/domain/JobFailures.kt
+++ b/src/main/kotlin/linemast/domain/JobFailures.kt
@@ -1,40 +1,47 @@
 package linemast.domain
 
-/** The failures of one job's tasks: where tasks have failed, and how long the job's next starts are delayed. */
+/**
+ * The failures of one job's tasks: on which machines none is started for a time, how long all starts are delayed, and whether the job
+ * itself is the likely cause. Times are on the leader's steady clock.
+ */
 class JobFailures {
-    /** Number of failures since a task of the job was last completed; those on one machine count once. */
+    /** Number of failures since a task of the job was last completed; those on one machine count once while it is excluded. */
     var count = 0
         private set
 
-    /** Names of the machines where a task of the job has failed; no task of the job is started there again. */
-    val failedOn = HashSet<String>()
-
-    /** Names of the machines where a task of the job has failed since one was last completed. */
-    private val machinesSinceSuccess = HashSet<String>()
-
-    /** Time of the leader's clock before which no task of the job is started. */
+    /** Time before which no task of the job is started. */
     var backOffUntilMicros = 0L
         private set
 
     /**
      * Whether the job rather than a machine is the likely cause of its failures: tasks have failed on [SUSPECT_MACHINES] machines and
-     * none has completed since. Such a failure does not count against a machine.
+     * none has completed since. Such failures do not count against machines, and one task of the job is started at a time.
      */
     var isJobSuspected = false
         private set
 
-    /**
-     * Records a failure on the machine called [machineName]; returns false if an earlier one on that machine is recorded.
-     *
-     * After [FAILURES_BEFORE_BACK_OFF] failures the starts of the job are delayed, because a job that fails on every machine was
-     * submitted with a mistake.
-     */
-    fun recordFailure(machineName: String): Boolean {
+    /** Until when no task of the job is started on a machine, by machine name. */
+    private val excludedUntilMicros = HashMap<String, Long>()
+
+    /** Names of the machines where a task of the job has failed since one was last completed. */
+    private val machinesSinceSuccess = HashSet<String>()
+
+    /** Whether there is anything that [update] could change. */
+    val needsUpdate: Boolean get() = machinesSinceSuccess.isNotEmpty() || excludedUntilMicros.isNotEmpty()
+
+    /** Whether no task of the job is started on the machine called [machineName], since one has failed there. */
+    fun isExcluded(machineName: String): Boolean = machineName in excludedUntilMicros
+
+    /** Records a failure on the machine called [machineName]; returns false if the job was excluded from that machine already. */
+    fun recordFailure(machineName: String, nowMicros: Long): Boolean {
         machinesSinceSuccess += machineName
-        return failedOn.add(machineName)
+        return excludedUntilMicros.put(machineName, nowMicros + EXCLUSION_MICROS) == null
     }
 
-    /** Counts a recorded failure, and delays the next starts after several of them. */
+    /**
+     * Counts a recorded failure. After [FAILURES_BEFORE_BACK_OFF] failures the starts of the job are delayed, because a job that fails
+     * on every machine was submitted with a mistake.
+     */
     fun delayStarts(nowMicros: Long) {
         count++
         if (count < FAILURES_BEFORE_BACK_OFF) return
@@ -48,25 +55,40 @@
         isJobSuspected = false
     }
 
+    /** Ends the exclusion from a machine, after a task that was started there later was completed. A suspected job stays excluded. */
+    fun recordSuccessOn(machineName: String) {
+        if (!isJobSuspected) excludedUntilMicros.remove(machineName)
+    }
+
     /**
-     * Determines [isJobSuspected] anew. A job is not suspected while its tasks, those in [placements], run on at least as many
-     * machines without a failure as they have failed on.
+     * Ends exclusions that are over, and determines [isJobSuspected] anew from the [placements] of the job. Returns whether that lets
+     * tasks be started that could not be before.
      */
-    fun updateSuspicion(placements: Collection<Placement>) {
-        isJobSuspected = machinesSinceSuccess.size >= SUSPECT_MACHINES && machinesSinceSuccess.size > runningElsewhere(placements)
+    fun update(placements: Collection<Placement>, nowMicros: Long): Boolean {
+        val wasSuspected = isJobSuspected
+        isJobSuspected = machinesSinceSuccess.size >= SUSPECT_MACHINES && !runsElsewhere(placements, nowMicros)
+        val isExclusionOver = excludedUntilMicros.values.removeIf { nowMicros >= it }
+        return isExclusionOver || (wasSuspected && !isJobSuspected)
     }
 
-    private fun runningElsewhere(placements: Collection<Placement>): Int = placements.filter { it.isRunning }
-        .mapTo(HashSet()) { it.machine.name }
-        .count { it !in machinesSinceSuccess }
+    /** Whether tasks run on at least as many machines as they have failed on, or one has been running for [TRIAL_MICROS]. */
+    private fun runsElsewhere(placements: Collection<Placement>, nowMicros: Long): Boolean {
+        val running = placements.filter { it.isRunning && it.machine.name !in machinesSinceSuccess }
+        if (running.any { nowMicros - it.runningSinceMicros >= TRIAL_MICROS }) return true
+        return running.distinctBy { it.machine.name }.size >= machinesSinceSuccess.size
+    }
 
     private companion object {
         const val INITIAL_BACK_OFF_MICROS = 4_000_000L
-        const val MAX_BACK_OFF_MICROS = 120_000_000L
+
+        /** Like [EXCLUSION_MICROS] less than the 90 s that a job may wait beside a machine with room. */
+        const val MAX_BACK_OFF_MICROS = 60_000_000L
         const val MAX_DOUBLINGS = 6
         const val FAILURES_BEFORE_BACK_OFF = 4
+        const val EXCLUSION_MICROS = 60_000_000L
 
         /** Number of machines on which a job has to fail before it is suspected. */
         const val SUSPECT_MACHINES = 3
+        const val TRIAL_MICROS = 20_000_000L
     }
 }
--- a/src/main/kotlin/linemast/domain/MachineHealth.kt
+++ b/src/main/kotlin/linemast/domain/MachineHealth.kt
@@ -4,10 +4,10 @@
  * Whether a machine is fit to run tasks, as far as failures of tasks show it.
  *
  * A failure says something about the machine and about the job. It counts against the machine unless the job fails on other machines
- * too or is cancelled ([JobFailures.isJobSuspected]). The machine is quarantined once tasks of [JOBS_BEFORE_QUARANTINE] jobs have
- * failed on it, and no task that was started after a failure has completed. A quarantine ends by itself: after its time the machine is
- * on trial, with one task at a time, and after the trial it gets tasks as before. A failure after the end of a quarantine begins the
- * next one, which is longer.
+ * too ([JobFailures.isJobSuspected]) or is cancelled. The machine is quarantined after [FAILURES_BEFORE_QUARANTINE] failures, of several
+ * jobs or of one that was started here again, if no task that was started after them has completed. A quarantine ends by itself: after
+ * its time the machine is on trial, with one task at a time, and after the trial it gets tasks as before. A failure after the end of a
+ * quarantine begins the next one, which is longer.
  *
  * All of this is derived from the recorded failures and the time by [update], so that it does not depend on the order in which the
  * failures, completions and cancellations become known. Times are on the leader's steady clock.
@@ -50,19 +50,24 @@
     /** Whether any failure is recorded. */
     val hasFailures: Boolean get() = failures.isNotEmpty()
 
-    /** The jobs whose tasks have failed here. */
-    val failedJobs: List<Job> get() = failures.map { it.job }
-
-    /** Records that a task of [job] has failed; returns false if this repeats a recent failure of the same job. */
-    fun recordFailure(job: Job, nowMicros: Long): Boolean {
-        if (failures.any { it.job === job && nowMicros - it.micros < REPETITION_MICROS }) return false
+    /**
+     * Records that a task of [job] has failed whose start was sent at [startedMicros]. Returns false if the task was started before an
+     * earlier failure of the same job, such as another task of an array: that says nothing new about the machine.
+     */
+    fun recordFailure(job: Job, startedMicros: Long, nowMicros: Long): Boolean {
+        if (failures.any { it.job === job && startedMicros <= it.micros }) return false
         failures += Failure(job, nowMicros)
         return true
     }
 
-    /** Records that a task has completed whose start was sent at [startedMicros]: it shows that earlier failures are over. */
-    fun recordCompletion(startedMicros: Long) {
-        failures.removeIf { it.micros < startedMicros }
+    /**
+     * Records that a task has completed whose start was sent at [startedMicros]: it shows that earlier failures are over. Returns the
+     * jobs of these failures.
+     */
+    fun recordCompletion(startedMicros: Long): List<Job> {
+        val isOver = failures.filter { it.micros < startedMicros }
+        failures.removeAll(isOver.toSet())
+        return isOver.map { it.job }
     }
 
     /** Determines the state at [nowMicros]; returns whether it has changed. */
@@ -81,16 +86,16 @@
         return state != previous
     }
 
-    /** Returns the quarantine that the latest of [counting], in the order of time, has begun; null if there are too few failed jobs. */
+    /** Returns the quarantine that the latest of [counting], in the order of time, has begun; null if there are too few. */
     private fun latestQuarantine(counting: List<Failure>): Quarantine? {
-        val decisive = counting.distinctBy { it.job }.getOrNull(JOBS_BEFORE_QUARANTINE - 1) ?: return null
+        val decisive = counting.getOrNull(FAILURES_BEFORE_QUARANTINE - 1) ?: return null
         return counting.fold(Quarantine(1, decisive.micros)) { quarantine, failure ->
             if (failure.micros < quarantine.endMicros) quarantine else Quarantine(quarantine.number + 1, failure.micros)
         }
     }
 
     private companion object {
-        const val JOBS_BEFORE_QUARANTINE = 2
+        const val FAILURES_BEFORE_QUARANTINE = 2
         const val FIRST_QUARANTINE_MICROS = 30_000_000L
 
         /** With [TRIAL_MICROS] less than the 90 s that a job may wait beside a machine with room. */
@@ -98,9 +103,6 @@
         const val MAX_DOUBLINGS = 4
         const val TRIAL_MICROS = 20_000_000L
 
-        /** Tasks of one job that fail within this time, such as those of an array, count as one failure. */
-        const val REPETITION_MICROS = 10_000_000L
-
         /** After this time a failure says nothing any more about the machine. */
         const val RETENTION_MICROS = 900_000_000L
     }
--- a/src/main/kotlin/linemast/scheduling/ArrayPlacement.kt
+++ b/src/main/kotlin/linemast/scheduling/ArrayPlacement.kt
@@ -13,7 +13,9 @@
      * the job.
      */
     fun place(job: Job, cycle: SchedulingCycle, maxOnBaseline: Int? = null, maxTasks: Int = Int.MAX_VALUE) {
-        var left = minOf(cycle.headroom.remainingTasksOf(job), job.pendingCount, maxTasks)
+        val maxNewTasks = minOf(maxTasks, if (job.failures.isJobSuspected) 1 - job.placements.size else Int.MAX_VALUE)
+        if (maxNewTasks <= 0) return pendingReasons.record(job, PendingReason.BackOff(job.failures.count))
+        var left = minOf(cycle.headroom.remainingTasksOf(job), job.pendingCount, maxNewTasks)
         if (left == 0) return pendingReasons.record(job, PendingReason.QuotaLimit)
         val zoneConstraint = ZoneConstraint(job)
         var baselineLeft = baselineHeadroom(job, maxOnBaseline)
--- a/src/main/kotlin/linemast/scheduling/Cluster.kt
+++ b/src/main/kotlin/linemast/scheduling/Cluster.kt
@@ -87,13 +87,13 @@
     private val cycleTimer = CycleTimer(clocks.monotonic)
     private val leaseExpiry = LeaseExpiry(this, effects)
     private val jobFollowUp = JobFollowUp(this, effects)
-    private val quarantines = MachineQuarantines(this)
+    private val failureTracker = FailureTracker(this)
     internal val failover = FailoverReconciliation(this, term.degradedModeMicros, timing)
     private val heartbeatHandler = HeartbeatHandler(
         this,
         settings.workers,
         HeartbeatAcceptance(this, timing),
-        TaskReconciliation(this, timing, TaskEndings(this, quarantines)),
+        TaskReconciliation(this, timing, TaskEndings(this, failureTracker)),
         TaskCommands(this),
         cancellationFreshness,
     )
@@ -233,7 +233,7 @@
         unreadCancellations.removeRead(cancellationFreshness)
         leaseExpiry.expireLeases(nowMicros)
         expireReservations(nowMicros)
-        quarantines.update(nowMicros)
+        failureTracker.update(nowMicros)
         // Tasks assigned to a machine whose heartbeat is overdue have to be assigned to another one.
         if (!needsScheduling) needsScheduling = unsentAssignments.any { !scheduler.hasRecentHeartbeat(it.machine, nowMicros) }
         failover.reconcile(nowMicros)
--- a/src/main/kotlin/linemast/scheduling/TaskEndings.kt
+++ b/src/main/kotlin/linemast/scheduling/TaskEndings.kt
@@ -9,8 +9,8 @@
 import linemast.recovery.ReconciliationStatistics
 import org.slf4j.LoggerFactory
 
-/** Records the ends of tasks: counts completed ones, delays jobs whose tasks keep failing, and reports failures to [quarantines]. */
-internal class TaskEndings(private val cluster: Cluster, private val quarantines: MachineQuarantines) {
+/** Records the ends of tasks: counts completed ones, delays jobs whose tasks keep failing, and reports both to [failureTracker]. */
+internal class TaskEndings(private val cluster: Cluster, private val failureTracker: FailureTracker) {
     private val log = LoggerFactory.getLogger(TaskEndings::class.java)
 
     /**
@@ -24,14 +24,14 @@
         if (job == null || task.task.index >= job.spec.taskCount) return
         when (task.cause) {
             EndCause.COMPLETED -> recordCompletion(job, task, placement, nowMicros)
-            EndCause.FAILED -> recordFailure(machine, job, nowMicros)
+            EndCause.FAILED -> recordFailure(machine, job, placement, nowMicros)
             else -> if (placement != null) log.debug("{}: ended on {}: {}", task.task, machine.name, task.cause)
         }
     }
 
     private fun recordCompletion(job: Job, task: TaskStatus, placement: Placement?, nowMicros: Long) {
         job.failures.recordSuccess()
-        if (placement != null) quarantines.recordCompletion(placement, nowMicros)
+        if (placement != null) failureTracker.recordCompletion(placement, nowMicros)
         if (placement != null) measureRunTime(job, placement, nowMicros)
         if (job.finished || job.cancelled) return
         // A gang completes as a whole: the completion of one of its tasks is the completion of all.
@@ -51,12 +51,8 @@
         cluster.runTimeEstimates.recordFinished(job.spec, runMicros)
     }
 
-    private fun recordFailure(machine: Machine, job: Job, nowMicros: Long) {
-        // A failure is reported in each heartbeat until the end of the task is acknowledged, but counts only once.
-        val isNewForJob = job.failures.recordFailure(machine.name)
-        val isNewForMachine = quarantines.recordFailure(machine, job, nowMicros)
-        if (!isNewForJob && !isNewForMachine) return
-        job.failures.delayStarts(nowMicros)
+    private fun recordFailure(machine: Machine, job: Job, placement: Placement?, nowMicros: Long) {
+        if (!failureTracker.recordFailure(machine, job, placement, nowMicros)) return
         log.debug("{}: a task failed on {}, {} failures since the last completed task", job.id, machine.name, job.failures.count)
         cluster.needsScheduling = true
     }
--- a/src/test/kotlin/linemast/cloud/ScaleInPolicyTest.kt
+++ b/src/test/kotlin/linemast/cloud/ScaleInPolicyTest.kt
@@ -56,10 +56,10 @@
     private fun quarantinedWorker(count: Int): Pair<Machine, Long> {
         val worker = Machine("host-000001", type, "z", false)
         var nowMicros = 1_000_000L
-        worker.health.recordFailure(job("req-000001"), nowMicros)
+        worker.health.recordFailure(job("req-000001"), startedMicros = nowMicros, nowMicros)
         repeat(count) { number ->
             nowMicros += 61_000_000
-            worker.health.recordFailure(job("req-10000$number"), nowMicros)
+            worker.health.recordFailure(job("req-10000$number"), startedMicros = nowMicros, nowMicros)
             worker.health.update(nowMicros)
         }
         assertEquals(MachineHealth.State.QUARANTINED, worker.health.state)
--- a/src/test/kotlin/linemast/scheduling/CandidateMachinesTest.kt
+++ b/src/test/kotlin/linemast/scheduling/CandidateMachinesTest.kt
@@ -59,7 +59,7 @@
 
     private fun exhaustiveSearch(job: Job, machines: List<Machine>, scarceTypes: ScarceTypes): List<Machine> = machines
         .filter { (it.reservedFor == null || it.reservedFor === job) && it.allows(job.spec) && it.fits(job) }
-        .filter { it.name !in job.failures.failedOn }
+        .filter { !job.failures.isExcluded(it.name) }
         .sortedWith(
             compareBy(
                 { it.reservedFor !== job },
@@ -89,7 +89,7 @@
             if (machine.fits(job)) machine.add(Placement(machine, TaskId("req-99", at), 1, job))
         }
         if (random.nextInt(6) == 0) machine.reservation = Reservation(jobs.random(random), untilMicros = 0)
-        if (random.nextInt(8) == 0) jobs.random(random).failures.failedOn += machine.name
+        if (random.nextInt(8) == 0) jobs.random(random).failures.recordFailure(machine.name, nowMicros = 0)
         return machine
     }
 
