A job that has waited for long gets a machine that is kept for a class of which no job waits

Cause: ScarceTypes keeps machine types for 900 s after the last job of a class that fits on no smaller one, whoever waits.

Change: an array without a task on a machine for 75 s gets up to two tasks on such machines (`LongWaits`), unless a job of a class that needs the type waits at that moment.

--- a/src/main/kotlin/linemast/control/CloudOperations.kt
+++ b/src/main/kotlin/linemast/control/CloudOperations.kt
@@ -107,8 +107,8 @@
     }
 
     private fun recordScaleInRefused(names: List<String>) {
-        cluster.recordScaleInRefused(names)
-        names.forEach { fleet.machines[it]?.isScalingIn = cluster.isScalingIn(it) }
+        cluster.knownMachines.recordScaleInRefused(names)
+        names.forEach { fleet.machines[it]?.isScalingIn = cluster.knownMachines.isScalingIn(it) }
     }
 
     /** Removes the machines [names] from the leader's state and the registry: the cloud has confirmed their scale-in. */
--- a/src/main/kotlin/linemast/control/Leader.kt
+++ b/src/main/kotlin/linemast/control/Leader.kt
@@ -63,7 +63,7 @@
     fun progress(): Map<String, JobProgress> = components.jobStatistics.progress()
 
     /** Returns the machines that get no starts, by name, with the reason. */
-    fun drainingMachines(): Map<String, DrainReason> = components.cluster.drainingMachines()
+    fun drainingMachines(): Map<String, DrainReason> = components.cluster.knownMachines.drainingMachines()
 
     /** Loads the state, then leads until the coroutine is cancelled. */
     suspend fun run() {
--- a/src/main/kotlin/linemast/domain/Job.kt
+++ b/src/main/kotlin/linemast/domain/Job.kt
@@ -53,6 +53,9 @@
     /** Whether the store records that the job has ended. */
     var finished = false
 
+    /** When the last task of the job left its machine, or when this leader took the job over; 0 if no task was on a machine. */
+    var lastActiveMicros = 0L
+
     /** The priority of the job's spec, or a higher one that the job inherits from a dependent job. */
     var priority = record.spec.priority
 
--- a/src/main/kotlin/linemast/scheduling/ArrayPlacement.kt
+++ b/src/main/kotlin/linemast/scheduling/ArrayPlacement.kt
@@ -2,6 +2,7 @@
 
 import linemast.domain.Job
 import linemast.domain.Machine
+import linemast.domain.MachineType
 import linemast.domain.PendingReason
 
 /** Assigns pending tasks of arrays to machines; each task is placed independently of the others. */
@@ -10,18 +11,25 @@
      * Assigns at most [maxTasks] pending tasks of [job] to machines, in the order of the candidates, within its team's quota limit.
      *
      * If [maxOnBaseline] is not null, baseline machines get new tasks only as long as they hold fewer than that many tasks of
-     * the job.
+     * the job. If [releasedTypes] is not null, the tasks get machines of these types only, also if they are kept for other job classes.
      */
-    fun place(job: Job, cycle: SchedulingCycle, maxOnBaseline: Int? = null, maxTasks: Int = Int.MAX_VALUE) {
-        val maxNewTasks = minOf(maxTasks, if (job.failures.isJobSuspected) 1 - job.placements.size else Int.MAX_VALUE)
-        if (maxNewTasks <= 0) return pendingReasons.record(job, PendingReason.BackOff(job.failures.count))
-        var left = minOf(cycle.headroom.remainingTasksOf(job), job.pendingCount, maxNewTasks)
+    fun place(
+        job: Job,
+        cycle: SchedulingCycle,
+        maxOnBaseline: Int? = null,
+        maxTasks: Int = Int.MAX_VALUE,
+        releasedTypes: Set<MachineType>? = null,
+    ) {
+        var left = minOf(cycle.headroom.remainingTasksOf(job), job.pendingCount, maxTasks)
         if (left == 0) return pendingReasons.record(job, PendingReason.QuotaLimit)
+        // Of a job that has failed on several machines one task at a time shows whether it still fails.
+        if (job.failures.isJobSuspected) left = minOf(left, 1 - job.placements.size)
+        if (left <= 0) return pendingReasons.record(job, PendingReason.BackOff(job.failures.count))
         val zoneConstraint = ZoneConstraint(job)
         var baselineLeft = baselineHeadroom(job, maxOnBaseline)
         for (machine in cycle.machines.candidates(job)) {
             if (machine.isBaseline && baselineLeft <= 0) continue
-            if (cycle.machines.isWithheld(job.spec, machine) || cycle.isLeftToAnother(job, machine)) continue
+            if (isLeftToOthers(machine, job, cycle, releasedTypes)) continue
             val placed = pack(machine, job, left, zoneConstraint, cycle)
             left -= placed
             if (machine.isBaseline) baselineLeft -= placed
@@ -33,6 +41,11 @@
         if (maxOnBaseline == null) pendingReasons.record(job, reasonNotPlaced(job, cycle))
     }
 
+    private fun isLeftToOthers(machine: Machine, job: Job, cycle: SchedulingCycle, releasedTypes: Set<MachineType>?): Boolean {
+        val isWithheld = if (releasedTypes == null) cycle.machines.isWithheld(job.spec, machine) else machine.type !in releasedTypes
+        return isWithheld || cycle.isLeftToAnother(job, machine)
+    }
+
     private fun baselineHeadroom(job: Job, maxOnBaseline: Int?): Int =
         if (maxOnBaseline == null) Int.MAX_VALUE else maxOnBaseline - job.placements.count { it.machine.isBaseline }
 
--- a/src/main/kotlin/linemast/scheduling/Cluster.kt
+++ b/src/main/kotlin/linemast/scheduling/Cluster.kt
@@ -1,7 +1,6 @@
 package linemast.scheduling
 
 import linemast.domain.Command
-import linemast.domain.DrainReason
 import linemast.domain.Heartbeat
 import linemast.domain.Job
 import linemast.domain.JobRecord
@@ -147,6 +146,8 @@
 
     private fun addJob(record: JobRecord, revision: Long, inherited: Boolean) {
         val job = Job(record, revision, inherited)
+        // How long a job has waited under previous leaders is not known.
+        if (inherited) job.lastActiveMicros = clocks.monotonic.nowMicros()
         if (job.id in unreadCancellations) job.cancelled = true
         if (job.cancelled) job.cancelledSinceMicros = clocks.monotonic.nowMicros()
         jobs[job.id] = job
@@ -222,6 +223,7 @@
         stopping -= placement
         placement.machine.remove(placement)
         placement.job?.let {
+            if (!placement.isAssigned) it.lastActiveMicros = clocks.monotonic.nowMicros()
             it.remove(placement)
             quota.remove(it.spec)
         }
@@ -236,6 +238,7 @@
         failureTracker.update(nowMicros)
         // Tasks assigned to a machine whose heartbeat is overdue have to be assigned to another one.
         if (!needsScheduling) needsScheduling = unsentAssignments.any { !scheduler.hasRecentHeartbeat(it.machine, nowMicros) }
+        if (scheduler.isLongWaitDue(nowMicros)) needsScheduling = true
         failover.reconcile(nowMicros)
         leaseExpiry.registerReportingMachines(nowMicros)
         for (job in jobs.values.toList()) jobFollowUp.followUp(job, nowMicros)
@@ -284,15 +287,6 @@
     /** See [KnownMachines.markScalingIn]. */
     fun markScalingIn(names: Collection<String>) = knownMachines.markScalingIn(names)
 
-    /** See [KnownMachines.recordScaleInRefused]. */
-    fun recordScaleInRefused(names: Collection<String>) = knownMachines.recordScaleInRefused(names)
-
-    /** See [KnownMachines.isScalingIn]. */
-    fun isScalingIn(machineName: String): Boolean = knownMachines.isScalingIn(machineName)
-
-    /** See [KnownMachines.drainingMachines]. */
-    fun drainingMachines(): Map<String, DrainReason> = knownMachines.drainingMachines()
-
     /** See [KnownMachines.markTerminated]. */
     fun markTerminated(names: Collection<String>) = knownMachines.markTerminated(names)
 
--- a/src/main/kotlin/linemast/scheduling/ScarceTypes.kt
+++ b/src/main/kotlin/linemast/scheduling/ScarceTypes.kt
@@ -65,6 +65,9 @@
     fun isExcluded(type: MachineType, spot: Boolean, spec: JobSpec): Boolean =
         demandsOfOthers(type, spot, spec).any { it.spec.priority >= spec.priority }
 
+    /** Returns the job classes that fit only [type] and other types as large. */
+    fun classesNeeding(type: MachineType): Set<String> = demands.filterValues { type.name in it.typeNames }.keys
+
     private fun demandsOfOthers(type: MachineType, spot: Boolean, spec: JobSpec): List<Demand> {
         if (demands[spec.jobClass]?.typeNames?.contains(type.name) == true) return emptyList()
         return demands.values.filter { type.name in it.typeNames && (it.spec.allowsSpot || !spot) }
--- a/src/main/kotlin/linemast/scheduling/Scheduler.kt
+++ b/src/main/kotlin/linemast/scheduling/Scheduler.kt
@@ -28,6 +28,7 @@
 
     private val arrays = ArrayPlacement(cluster, pendingReasons)
     private val gangs = GangPlacement(cluster, gangPreemption, pendingReasons)
+    private val longWaits = LongWaits(cluster)
     private val starvationGuard = StarvationGuard(cluster, roundRobin, arrays, gangs, reservation)
 
     /** See [ScarceTypes.isExcluded]. */
@@ -36,6 +37,9 @@
     /** See [MachineReadiness.hasRecentHeartbeat]. */
     fun hasRecentHeartbeat(machine: Machine, nowMicros: Long): Boolean = machineReadiness.hasRecentHeartbeat(machine, nowMicros)
 
+    /** See [LongWaits.isDue]. */
+    fun isLongWaitDue(nowMicros: Long): Boolean = longWaits.isDue(nowMicros)
+
     /** See [JobReadiness.isStartable]. */
     fun isStartable(job: Job, nowMicros: Long): Boolean = jobReadiness.isStartable(job, nowMicros)
 
@@ -43,6 +47,7 @@
     fun runCycle(nowMicros: Long) {
         cluster.removeAssignments()
         cluster.needsScheduling = false
+        longWaits.reset()
         val ranked = rankJobs(nowMicros)
         val jobs = ranked.map { it.job }
         val ready = jobs.filter { it.pendingCount > 0 && jobReadiness.prepare(it, nowMicros) }
@@ -51,6 +56,7 @@
         starvationGuard.placeStarving(ready, cycle)
         placeByRank(ready, cycle)
         placeRemainingArrays(ready, cycle)
+        placeAfterLongWait(ready, cycle)
         preemptForQuota(ready, cycle)
     }
 
@@ -95,6 +101,22 @@
         for (job in arrayJobs) if (job.pendingCount > 0) arrays.place(job, cycle)
     }
 
+    /**
+     * Places tasks of arrays that have waited for long on machines that are kept for other job classes, unless a job of such a class
+     * waits now.
+     */
+    private fun placeAfterLongWait(ready: List<Job>, cycle: SchedulingCycle) {
+        val longWaiting = ready.filter { !it.spec.isGang && it.placements.isEmpty() && longWaits.isLong(it, cycle.nowMicros) }
+        if (longWaiting.isEmpty()) return
+        val waitingClasses = ready.filter { it.pendingCount > 0 }.mapTo(HashSet()) { it.spec.jobClass }
+        val releasedTypes = cluster.machineTypes.values.filterTo(HashSet()) { type ->
+            val classes = scarceTypes.classesNeeding(type)
+            classes.isNotEmpty() && classes.none { it in waitingClasses }
+        }
+        if (releasedTypes.isEmpty()) return
+        longWaiting.forEach { arrays.place(it, cycle, maxTasks = TASKS_AFTER_LONG_WAIT, releasedTypes = releasedTypes) }
+    }
+
     private fun preemptForQuota(ready: List<Job>, cycle: SchedulingCycle) {
         val preemption = QuotaPreemption(cycle, cluster, timing, estimates, taskPreemption)
         for (job in ready) {
@@ -102,4 +124,9 @@
             preemption.preemptFor(job, minOf(job.pendingCount, cycle.headroom.remainingTasksOf(job)))
         }
     }
+
+    private companion object {
+        /** Few, since they may occupy a machine that a larger job needs soon. */
+        const val TASKS_AFTER_LONG_WAIT = 2
+    }
 }
--- a/src/test/kotlin/linemast/scheduling/ClusterFixture.kt
+++ b/src/test/kotlin/linemast/scheduling/ClusterFixture.kt
@@ -5,6 +5,7 @@
 import linemast.domain.Heartbeat
 import linemast.domain.Job
 import linemast.domain.JobRecord
+import linemast.domain.JobSpec
 import linemast.domain.Machine
 import linemast.domain.MachineType
 import linemast.domain.StoredJobRecord
@@ -62,9 +63,12 @@
         cluster.load(openJobs.map { StoredJobRecord(it, revision = 1) }, registered.map { Machine(it, TYPE, "z", false) }, nowMicros)
     }
 
-    fun submit(id: String, taskCount: Int, gang: Boolean = false, vcpus: Double = 1.0, team: String = "team"): Job {
-        cluster.applyJobRecord(JobRecord(spec(id, taskCount, gang, vcpus, team), nowMicros, activated = false, cancelled = false), 1)
-        return cluster.jobs.getValue(id)
+    fun submit(id: String, taskCount: Int, gang: Boolean = false, vcpus: Double = 1.0, team: String = "team"): Job =
+        submit(spec(id, taskCount, gang, vcpus, team))
+
+    fun submit(spec: JobSpec): Job {
+        cluster.applyJobRecord(JobRecord(spec, nowMicros, activated = false, cancelled = false), 1)
+        return cluster.jobs.getValue(spec.id)
     }
 
     fun heartbeat(heartbeat: Heartbeat): List<Command> = cluster.heartbeat(heartbeat, nowMicros).orEmpty()
@@ -96,7 +100,7 @@
 }
 
 /** A worker that executes the commands of each response that it receives. */
-internal class FakeWorker(private val fixture: ClusterFixture, val name: String) {
+internal class FakeWorker(private val fixture: ClusterFixture, val name: String, private val type: MachineType = ClusterFixture.TYPE) {
     var incarnation = 1L
     var sequenceNumber = 0L
     var fencingToken = 0L
@@ -108,7 +112,7 @@
     var preemptionNoticeMicros: Long? = null
 
     fun nextHeartbeat(): Heartbeat = Heartbeat(
-        name, "", ClusterFixture.TYPE.name, "z", false, incarnation, ++sequenceNumber, fencingToken, preemptionNoticeMicros,
+        name, "", type.name, "z", false, incarnation, ++sequenceNumber, fencingToken, preemptionNoticeMicros,
         tasks.map { (key, state) -> TaskStatus(key.first, key.second, state, causeOf(key, state), false) },
     )
 
--- a/src/test/kotlin/linemast/simulation/InvariantChecks.kt
+++ b/src/test/kotlin/linemast/simulation/InvariantChecks.kt
@@ -109,6 +109,7 @@
 
     private fun checkPlacement(worker: SimWorker, job: SimJob, others: List<LiveTask>) {
         if (worker.spot && !job.spot) recordViolation(Invariant.PLACEMENT, job.id, "on the spot machine ${worker.name}")
+        if (job.zone != null && job.zone != worker.zone) recordViolation(Invariant.PLACEMENT, job.id, "not in zone ${job.zone}")
         if (job.sameZone && others.any { it.worker.zone != worker.zone }) recordViolation(Invariant.PLACEMENT, job.id, "in two zones")
         val here = others.count { it.worker.zone == worker.zone } + 1
         if (job.spread && here > (job.taskCount + 1) / 2) recordViolation(Invariant.PLACEMENT, job.id, "$here tasks in zone ${worker.zone}")
@@ -211,7 +212,8 @@
      * one zone and some are already in the zones [boundTo], only these zones count.
      */
     private fun freeTaskSlotsByZone(job: SimJob, boundTo: Set<String>): Map<String, Int> = world.workers.values
-        .filter { (job.spot || !it.spot) && (!job.sameZone || boundTo.isEmpty() || it.zone in boundTo) }
+        .filter { (job.spot || !it.spot) && (job.zone == null || job.zone == it.zone) }
+        .filter { (!job.sameZone || boundTo.isEmpty() || it.zone in boundTo) }
         .groupBy { it.zone }
         .mapValues { (_, machines) -> machines.sumOf { ((it.type.vcpus - vcpusUsedOn(it)) / job.vcpus).toInt() } }
 
