--- a/review/lib-2/Site.java
+++ b/review/lib-2/Site.java
@@ -92,6 +92,7 @@
     final Set<String> completed = new HashSet<>();
     final int[] ports = new int[NODES];
     private final int[] peerPorts = new int[NODES];
+    private PeerLinks links;
     private final Process[] processes = new Process[NODES];
     private final Path directory = Files.createTempDirectory("review");
     private final PrintWriter record;
@@ -147,6 +148,12 @@
 
     // Controllers
 
+    /** Lets the controllers reach each other through links that can be refused; to be called before they are started. */
+    PeerLinks useLinks() throws IOException {
+        links = new PeerLinks(peerPorts);
+        return links;
+    }
+
     private String settings(int node) {
         StringBuilder text = new StringBuilder();
         text.append("node_name = \"mast-").append(node).append("\"\ndomain = \"").append(config.zones.get(0)).append("\"\n");
@@ -154,7 +161,7 @@
         for (int i = 0; i < NODES; i++) {
             if (i == node) continue;
             text.append("[[members]]\nnode_name = \"mast-").append(i).append("\"\ndomain = \"").append(config.zones.get(0));
-            text.append("\"\npeer_addr = \"127.0.0.1:").append(peerPorts[i]).append("\"\n");
+            text.append("\"\npeer_addr = \"127.0.0.1:").append(links == null ? peerPorts[i] : links.port(node, i)).append("\"\n");
         }
         text.append("[external]\ncloud = \"127.0.0.1:").append(cloud.ports[node]).append("\"\nstate = \"127.0.0.1:").append(store.ports[node]).append("\"\n");
         text.append("[settings]\ninitial_size = 3\nzones = [");
