--- a/review/lib-2/Cloud.java
+++ b/review/lib-2/Cloud.java
@@ -25,6 +25,8 @@
     private final Map<String, List<Object>> charters = new HashMap<>();
     final int[] ports;
     volatile Tap tap;
+    /** During an outage the cloud answers 503. */
+    volatile boolean isOut;
     /** Most machines that the cloud rents. */
     int capacity = 0;
 
@@ -40,6 +42,7 @@
     }
 
     private Http.Response handle(int node, Http.Request request) throws Exception {
+        if (isOut) return Http.Response.of(503, "error", "trouble");
         Tap current = tap;
         boolean isAnswered = current == null || current.pass(node, request);
         Http.Response response;
