--- a/review/lib-2/Site.java
+++ b/review/lib-2/Site.java
@@ -1,5 +1,8 @@
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -121,9 +124,19 @@
         });
     }
 
-    static int freePort() throws IOException {
-        try (var socket = Http.listen()) {
-            return socket.getLocalPort();
+    private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
+
+    /** Returns a free port that was not given before and that no outgoing connection gets: below the range for those. */
+    static synchronized int freePort() throws IOException {
+        Random anyOrder = new Random();
+        while (true) {
+            int port = 10_000 + anyOrder.nextInt(20_000);
+            if (!GIVEN_PORTS.add(port)) continue;
+            try (var socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // Another process listens there.
+            }
         }
     }
 
